--- /dev/null
+++ b/src/core/jobs.ts
@@ -0,0 +1,288 @@
+import { taskKey, type Chunk, type Intent, type Job, type JobRecord, type Machine } from './model.js';
+import type { Now, Steady } from './time.js';
+import { inner, mayArrive, note, type World } from './world.js';
+
+/** Tasks per chunk: their intents with the longest names stay well below the value limit of the state service. */
+export const CHUNK_TASKS = 40;
+
+/** A chunk as it is written to the state service. */
+export interface ChunkImage {
+  readonly attempt: number;
+  readonly done: readonly number[];
+  readonly intents: readonly IntentImage[];
+}
+
+export interface IntentImage {
+  readonly task: number;
+  readonly attempt: number;
+  readonly machine: string;
+  readonly session: number;
+  readonly zone: string;
+}
+
+export function chunkOf(job: Job, task: number): Chunk {
+  const index = Math.floor(task / CHUNK_TASKS);
+  let chunk = job.chunks.get(index);
+  if (chunk === undefined) {
+    chunk = { index, stamp: 0, attempt: 0, done: new Set(), intents: new Map(), version: 0, committed: 0 };
+    job.chunks.set(index, chunk);
+  }
+  return chunk;
+}
+
+export function image(chunk: Chunk): ChunkImage {
+  return {
+    attempt: chunk.attempt,
+    done: [...chunk.done].sort((a, b) => a - b),
+    intents: [...chunk.intents.values()].map((i) => ({
+      task: i.task,
+      attempt: i.attempt,
+      machine: i.machine,
+      session: i.session,
+      zone: i.zone,
+    })),
+  };
+}
+
+export function touch(w: World, job: Job, chunk: Chunk): void {
+  chunk.version += 1;
+  const key = `${job.spec.id}/${chunk.index}`;
+  if (!w.dirty.has(key)) w.dirty.set(key, { job: job.spec.id, index: chunk.index });
+}
+
+/** A job's record as read or followed. New jobs come in; a cancellation stops what may run. */
+export function onJob(w: World, id: string, record: JobRecord, stamp: number, now: Now): void {
+  const known = w.jobs.get(id);
+  if (known === undefined) {
+    const job: Job = {
+      spec: record.spec,
+      submitted: record.submitted,
+      standing: record.standing,
+      stamp,
+      chunks: new Map(),
+      doneCount: 0,
+      placedCount: 0,
+      doneWanted: false,
+      failedOn: new Map(),
+      failures: 0,
+      notBefore: 0n,
+      free: new Set(),
+      arrived: now.steady,
+      waitReason: 'new',
+    };
+    w.jobs.set(id, job);
+    if (record.standing === 'open') {
+      for (let t = 0; t < record.spec.tasks; t++) job.free.add(t);
+      w.waiting.add(id);
+      w.needPass = true;
+    }
+    return;
+  }
+  if (stamp <= known.stamp) return;
+  known.stamp = stamp;
+  if (record.standing === known.standing) return;
+  known.standing = record.standing;
+  known.free.clear();
+  w.waiting.delete(id);
+  if (record.standing === 'cancelled') {
+    note(w, 'job cancelled', { job: id }, 'info');
+    stopJob(w, known, 'cancelled', now.steady);
+  }
+}
+
+/** A chunk as read when the term began. Its intents are possible places until proven otherwise. */
+export function onChunk(w: World, id: string, index: number, img: ChunkImage, stamp: number, now: Now): void {
+  const job = w.jobs.get(id);
+  if (job === undefined) return;
+  const chunk: Chunk = {
+    index,
+    stamp,
+    attempt: img.attempt,
+    done: new Set(img.done),
+    intents: new Map(),
+    version: 0,
+    committed: 0,
+  };
+  job.chunks.set(index, chunk);
+  job.doneCount += chunk.done.size;
+  for (const t of chunk.done) job.free.delete(t);
+  for (const i of img.intents) {
+    const intent: Intent = {
+      ...i,
+      job: id,
+      version: 0,
+      created: now.steady,
+      phase: 'placed',
+      stopping: null,
+      // It may have been sent by an earlier owner: only proof ends it.
+      sentAt: 0,
+      loose: null,
+      inFlight: 0,
+      runningSince: null,
+    };
+    chunk.intents.set(i.task, intent);
+    job.free.delete(i.task);
+    job.placedCount += 1;
+    w.quota.take(job.spec);
+    machineOf(w, i.machine, now.steady).intents.set(taskKey(id, i.task), intent);
+  }
+  if (job.free.size === 0) w.waiting.delete(id);
+  if (job.standing === 'cancelled') stopJob(w, job, 'cancelled', now.steady);
+  if (job.doneCount === job.spec.tasks && job.standing === 'open') wantDone(w, job);
+}
+
+export function machineOf(w: World, name: string, now: Steady): Machine {
+  let m = w.machines.get(name);
+  if (m === undefined) {
+    m = {
+      name,
+      endpoint: '',
+      type: '',
+      zone: '',
+      spot: false,
+      session: 0,
+      seq: 0,
+      token: 0,
+      notice: null,
+      answered: w.othersQuiet,
+      heard: 0n,
+      fenced: false,
+      deadSession: 0,
+      intents: new Map(),
+      seen: new Map(),
+      images: new Map(),
+      faults: new Map(),
+      setAside: false,
+      setAsideSince: null,
+      idleSince: null,
+      listed: null,
+      listedAt: null,
+      returning: false,
+      firstKnown: now,
+    };
+    w.machines.set(name, m);
+  }
+  return m;
+}
+
+export function place(w: World, job: Job, task: number, attempt: number, m: Machine, now: Steady): Intent {
+  const chunk = chunkOf(job, task);
+  chunk.attempt = Math.max(chunk.attempt, attempt);
+  touch(w, job, chunk);
+  const intent: Intent = {
+    job: job.spec.id,
+    task,
+    attempt,
+    machine: m.name,
+    session: m.session,
+    zone: m.zone,
+    version: chunk.version,
+    created: now,
+    phase: 'placed',
+    stopping: null,
+    sentAt: null,
+    loose: null,
+    inFlight: 0,
+    runningSince: null,
+  };
+  chunk.intents.set(task, intent);
+  job.free.delete(task);
+  if (job.free.size === 0) w.waiting.delete(job.spec.id);
+  job.placedCount += 1;
+  w.quota.take(job.spec);
+  m.intents.set(taskKey(job.spec.id, task), intent);
+  m.idleSince = null;
+  return intent;
+}
+
+/** Ends an intent on proof that the task is not on the machine and cannot come there. */
+export function endIntent(w: World, intent: Intent, completed: boolean, why: string): void {
+  const job = w.jobs.get(intent.job);
+  if (job === undefined) return;
+  const chunk = chunkOf(job, intent.task);
+  if (chunk.intents.get(intent.task) !== intent) return;
+  chunk.intents.delete(intent.task);
+  w.machines.get(intent.machine)?.intents.delete(taskKey(intent.job, intent.task));
+  job.placedCount -= 1;
+  w.quota.release(job.spec);
+  if (completed && !chunk.done.has(intent.task)) {
+    chunk.done.add(intent.task);
+    job.doneCount += 1;
+  } else if (!completed && job.standing === 'open' && !chunk.done.has(intent.task)) {
+    job.free.add(intent.task);
+    w.waiting.add(intent.job);
+  }
+  touch(w, job, chunk);
+  w.needPass = true;
+  note(w, 'place ended', {
+    task: taskKey(intent.job, intent.task),
+    attempt: intent.attempt,
+    machine: intent.machine,
+    why,
+  });
+  if (job.doneCount === job.spec.tasks) wantDone(w, job);
+}
+
+export function wantDone(w: World, job: Job): void {
+  if (job.standing !== 'open' || job.doneWanted || job.spec.kind === 'service') return;
+  job.doneWanted = true;
+  w.dirtyJobs.add(job.spec.id);
+}
+
+/** An intent of this term whose `run` never left can be ended at once: nobody else could have sent it. */
+export const neverSent = (w: World, i: Intent): boolean => i.sentAt === null && !mayArrive(w, i);
+
+export function stopIntent(w: World, intent: Intent, grace: number, why: string, now: Steady): void {
+  if (neverSent(w, intent)) {
+    endIntent(w, intent, false, `never sent: ${why}`);
+    return;
+  }
+  if (intent.stopping !== null && intent.stopping.grace <= grace) return;
+  intent.stopping = { grace, why, since: now };
+  const m = w.machines.get(intent.machine);
+  if (m === undefined || m.session !== intent.session || !m.fenced) return;
+  w.effects.push({
+    kind: 'direct',
+    machine: m.name,
+    session: m.session,
+    orders: [{ op: 'stop', job: intent.job, task: intent.task, attempt: intent.attempt, grace }],
+  });
+}
+
+export function stopJob(w: World, job: Job, why: string, now: Steady, grace = 0): void {
+  for (const chunk of job.chunks.values())
+    for (const intent of [...chunk.intents.values()]) stopIntent(w, intent, grace, why, now);
+}
+
+export function intentsOf(job: Job): Intent[] {
+  const out: Intent[] = [];
+  for (const chunk of job.chunks.values()) out.push(...chunk.intents.values());
+  return out;
+}
+
+/** How many tasks may be in each zone now, by recorded intents. */
+export function zonesTaken(job: Job): Map<string, number> {
+  const taken = new Map<string, number>();
+  for (const chunk of job.chunks.values())
+    for (const i of chunk.intents.values()) taken.set(i.zone, (taken.get(i.zone) ?? 0) + 1);
+  return taken;
+}
+
+export const isCommitted = (job: Job, i: Intent): boolean => chunkOf(job, i.task).committed >= i.version;
+
+/** Remembers that an exited task is to be forgotten once its result is committed. */
+export function wantForget(
+  w: World,
+  machine: string,
+  job: string,
+  task: number,
+  attempt: number,
+  now: Steady,
+): void {
+  const known = w.jobs.get(job);
+  const chunk = known === undefined ? undefined : known.chunks.get(Math.floor(task / CHUNK_TASKS));
+  const key = taskKey(job, task);
+  const map = inner(w.forgets, machine);
+  if (map.get(key)?.attempt === attempt) return;
+  map.set(key, { job, task, attempt, index: chunk?.index ?? null, version: chunk?.version ?? 0, since: now });
+}
--- /dev/null
+++ b/src/core/machines.ts
@@ -0,0 +1,410 @@
+import { endIntent, isCommitted, machineOf, neverSent, stopIntent, wantForget } from './jobs.js';
+import {
+  taskKey,
+  type Intent,
+  type Job,
+  type Listed,
+  type Machine,
+  type Report,
+  type SeenTask,
+  type Spec,
+} from './model.js';
+import { mayStart } from './parts.js';
+import type { Free } from './placement.js';
+import { seconds, toSeconds, type Now, type Steady } from './time.js';
+import { inner, mayArrive, note, runKey, stretched, type Order, type World } from './world.js';
+
+/** A report is newer than what is known if its (session, sequence) is larger; late ones say nothing about now. */
+const isNewer = (m: Machine, r: Report): boolean =>
+  r.session > m.session || (r.session === m.session && r.seq > m.seq);
+
+/** Takes in a report, whichever way it came. Exits count even in old ones; absence counts only in new ones. */
+export function onReport(w: World, r: Report, now: Now): void {
+  if (r.token > w.token) {
+    w.effects.push({ kind: 'deposed', token: r.token });
+    return;
+  }
+  const m = machineOf(w, r.machine, now.steady);
+  for (const t of r.tasks) if (t.state === 'exited') onExit(w, m, r, t, now);
+  if (!isNewer(m, r)) {
+    note(w, 'late report', { machine: r.machine, session: r.session, seq: r.seq });
+    return;
+  }
+  const wasUsable = usable(w, m, now.steady);
+  m.endpoint = r.endpoint;
+  m.type = r.type;
+  m.zone = r.zone;
+  m.spot = r.spot;
+  w.booting.delete(m.name);
+  if (r.session > m.session) newSession(w, m, r.session);
+  m.seq = r.seq;
+  m.token = r.token;
+  m.heard = now.steady;
+  m.notice = r.notice === null ? null : now.steady + r.notice;
+  if (r.token >= w.firstToken) m.fenced = true;
+  const loose = w.loose.get(m.name);
+  // A copy carrying a lower token than the worker has seen is refused there.
+  if (loose !== undefined) for (const [k, token] of loose) if (r.token > token) loose.delete(k);
+  const listed = new Set<string>();
+  m.seen.clear();
+  for (const t of r.tasks) {
+    listed.add(runKey(t.job, t.task, t.attempt));
+    if (t.state !== 'exited') m.seen.set(taskKey(t.job, t.task), t);
+  }
+  for (const intent of [...m.intents.values()]) onListed(w, m, r, intent, listed, now);
+  if (usable(w, m, now.steady) !== wasUsable) w.needPass = true;
+}
+
+function newSession(w: World, m: Machine, session: number): void {
+  m.session = session;
+  m.seq = 0;
+  m.deadSession = Math.max(m.deadSession, session - 1);
+  // The worker killed and forgot everything with its old session, and refuses commands for it.
+  w.loose.delete(m.name);
+  w.forgets.delete(m.name);
+  for (const i of [...m.intents.values()]) if (i.session < session) endIntent(w, i, false, 'newer session');
+  w.needPass = true;
+}
+
+function onListed(
+  w: World,
+  m: Machine,
+  r: Report,
+  intent: Intent,
+  listed: ReadonlySet<string>,
+  now: Now,
+): void {
+  if (intent.session !== r.session) return;
+  const job = w.jobs.get(intent.job);
+  const seen = m.seen.get(taskKey(intent.job, intent.task));
+  if (seen !== undefined && seen.attempt === intent.attempt) {
+    if (seen.state !== 'exited') intent.phase = seen.state;
+    if (seen.state === 'running' && intent.runningSince === null) intent.runningSince = now.steady;
+    if (intent.sentAt === null) intent.sentAt = 0;
+    if (seen.state !== 'fetching' && job !== undefined)
+      m.images.set(job.spec.image, { gb: job.spec.imageGb, used: now.steady });
+    return;
+  }
+  if (listed.has(runKey(intent.job, intent.task, intent.attempt))) return;
+  // Absent. That proves something only if the worker has our token and no copy of the `run` can still come.
+  if (!m.fenced || mayArrive(w, intent)) return;
+  const answeredBefore = intent.sentAt === null || r.seq > intent.sentAt;
+  if (!answeredBefore) return;
+  if (intent.phase !== 'placed') endIntent(w, intent, false, 'gone from the report');
+  else if (intent.stopping !== null) endIntent(w, intent, false, `not there: ${intent.stopping.why}`);
+}
+
+function onExit(w: World, m: Machine, r: Report, t: SeenTask, now: Now): void {
+  const intent = m.intents.get(taskKey(t.job, t.task));
+  if (intent !== undefined && intent.attempt === t.attempt && intent.session === r.session) {
+    const job = w.jobs.get(t.job);
+    const completed = t.why === 'done';
+    if (job !== undefined && !completed) onFailure(w, job, m, t, now);
+    if (intent.runningSince !== null && completed && job !== undefined)
+      learnPace(w, job, now.steady - intent.runningSince);
+    endIntent(w, intent, completed, t.why ?? 'exited');
+    if (job !== undefined && job.spec.kind === 'gang') onGangExit(w, job, t, completed, now);
+  }
+  if (r.session === m.session || m.session === 0) wantForget(w, m.name, t.job, t.task, t.attempt, now.steady);
+}
+
+/** A gang's tasks end together: after the first exit the rest of that attempt has no more to do. */
+function onGangExit(w: World, job: Job, t: SeenTask, completed: boolean, now: Now): void {
+  if (completed) return;
+  for (const chunk of job.chunks.values())
+    for (const i of [...chunk.intents.values()])
+      if (i.attempt === t.attempt && i.stopping === null)
+        stopIntent(w, i, 0, `gang lost a task: ${t.why}`, now.steady);
+}
+
+function onFailure(w: World, job: Job, m: Machine, t: SeenTask, now: Now): void {
+  if (t.why === 'error') {
+    job.failures += 1;
+    job.failedOn.set(m.name, (job.failedOn.get(m.name) ?? 0) + 1);
+    // A job failing everywhere is its own fault: pauses grow, and no machine is blamed for it alone.
+    job.notBefore =
+      now.steady + seconds(job.failedOn.size > 2 ? Math.min(2 ** Math.min(job.failures, 6), 60) : 0.2);
+    m.faults.set(job.spec.id, now.steady);
+    const blame = [...m.faults.keys()].filter((id) => (w.jobs.get(id)?.failedOn.size ?? 0) <= 2);
+    if (!m.setAside && blame.length >= w.knobs.faultJobs) {
+      m.setAside = true;
+      m.setAsideSince = now.steady;
+      note(w, 'machine set aside: different jobs fail on it', { machine: m.name, jobs: blame }, 'info');
+    }
+  } else if (t.why === 'full' || t.why === 'busy' || t.why === 'no_such') {
+    job.notBefore = now.steady + seconds(0.5);
+    note(w, 'start refused', { machine: m.name, job: job.spec.id, why: t.why }, 'info');
+  }
+}
+
+function learnPace(w: World, job: Job, took: Steady): void {
+  const expected = toSeconds(job.spec.estimate);
+  if (expected <= 0) return;
+  const ratio = Math.min(4, Math.max(0.25, toSeconds(took) / expected));
+  w.pace.set(job.spec.class, (w.pace.get(job.spec.class) ?? 1) * 0.9 + ratio * 0.1);
+}
+
+/** What became of a direct command. Unknown: a copy may still arrive and be carried out. */
+export function onDirect(
+  w: World,
+  machine: string,
+  session: number,
+  token: number,
+  orders: readonly Order[],
+  outcome: 'executed' | 'refused' | 'unknown',
+): void {
+  const m = w.machines.get(machine);
+  for (const o of orders) {
+    if (o.op !== 'start') continue;
+    const key = runKey(o.job, o.task, o.attempt);
+    const flying = inner(w.flying, machine);
+    const left = (flying.get(key) ?? 1) - 1;
+    if (left > 0) flying.set(key, left);
+    else flying.delete(key);
+    if (outcome === 'unknown' && m !== undefined && m.session === session && m.token <= token)
+      inner(w.loose, machine).set(key, token);
+  }
+}
+
+/** The orders that go into the answer to a machine's report. */
+export function ordersFor(w: World, name: string, now: Now): Order[] {
+  const m = w.machines.get(name);
+  if (m === undefined) return [];
+  m.answered = now.steady;
+  const orders: Order[] = [];
+  for (const i of m.intents.values()) {
+    const seen = m.seen.get(taskKey(i.job, i.task));
+    const there = seen !== undefined && seen.attempt === i.attempt;
+    if (i.stopping !== null) {
+      if (there)
+        orders.push({
+          op: 'stop',
+          job: i.job,
+          task: i.task,
+          attempt: i.attempt,
+          grace: graceNow(w, i, now.steady),
+        });
+    } else if (!there && startable(w, m, i, now.steady)) {
+      i.sentAt = m.seq;
+      orders.push({ op: 'start', job: i.job, task: i.task, attempt: i.attempt });
+    }
+  }
+  orders.push(...strays(w, m));
+  for (const f of w.forgets.get(name)?.values() ?? [])
+    if (mayForget(w, name, f)) orders.push({ op: 'forget', job: f.job, task: f.task, attempt: f.attempt });
+  return orders;
+}
+
+/** A task that was told to save but does not end is ended, once it had twice its time. */
+function graceNow(w: World, i: Intent, now: Steady): number {
+  const grace = i.stopping?.grace ?? 0;
+  if (i.stopping === null || grace === 0) return 0;
+  const allowed = seconds(grace * 2) + w.facts.gangPeer + w.facts.report * 2n;
+  return now - i.stopping.since > allowed ? 0 : grace;
+}
+
+/** Tasks on the machine that no intent covers: they were given up with proof once, so whatever this is, it ends. */
+function strays(w: World, m: Machine): Order[] {
+  const out: Order[] = [];
+  if (!m.fenced) return out;
+  for (const [key, t] of m.seen) {
+    const i = m.intents.get(key);
+    if (i !== undefined && i.attempt === t.attempt) continue;
+    note(
+      w,
+      'stopping a task that no place is recorded for',
+      { machine: m.name, task: key, attempt: t.attempt },
+      'info',
+    );
+    out.push({ op: 'stop', job: t.job, task: t.task, attempt: t.attempt, grace: 0 });
+  }
+  return out;
+}
+
+function mayForget(
+  w: World,
+  machine: string,
+  f: { job: string; task: number; attempt: number; index: number | null; version: number },
+): boolean {
+  const key = runKey(f.job, f.task, f.attempt);
+  // After a `forget` the attempt is unknown to the worker: a copy of its `run` would start it again.
+  if (w.loose.get(machine)?.has(key) === true || (w.flying.get(machine)?.get(key) ?? 0) > 0) return false;
+  if (w.machines.get(machine)?.fenced !== true) return false;
+  const job = w.jobs.get(f.job);
+  if (job === undefined || f.index === null) return true;
+  return (job.chunks.get(f.index)?.committed ?? 0) >= f.version;
+}
+
+/** Drops forgets that the newest report shows as carried out. */
+export function tidyForgets(w: World, r: Report): void {
+  const map = w.forgets.get(r.machine);
+  if (map === undefined) return;
+  const exited = new Set(
+    r.tasks.filter((t) => t.state === 'exited').map((t) => runKey(t.job, t.task, t.attempt)),
+  );
+  for (const [k, f] of map) if (!exited.has(runKey(f.job, f.task, f.attempt))) map.delete(k);
+}
+
+export function startable(w: World, m: Machine, i: Intent, now: Steady): boolean {
+  const job = w.jobs.get(i.job);
+  if (job === undefined || job.standing !== 'open' || i.stopping !== null) return false;
+  if (i.session !== m.session || !m.fenced || i.phase !== 'placed') return false;
+  if (!isCommitted(job, i) || !mayStart(w.contact, now)) return false;
+  // A gang starts as one: no member before all are committed.
+  if (job.spec.kind === 'gang')
+    for (const chunk of job.chunks.values())
+      for (const other of chunk.intents.values()) if (!isCommitted(job, other)) return false;
+  return true;
+}
+
+/** Sends the `run`s that a commit made allowed, straight to the machines. */
+export function dispatch(w: World, intents: Iterable<Intent>, now: Now): void {
+  const byMachine = new Map<string, Intent[]>();
+  for (const i of intents) {
+    const m = w.machines.get(i.machine);
+    if (m === undefined || i.sentAt !== null || mayArrive(w, i) || !startable(w, m, i, now.steady)) continue;
+    const list = byMachine.get(i.machine) ?? [];
+    list.push(i);
+    byMachine.set(i.machine, list);
+  }
+  for (const [name, list] of byMachine) {
+    const m = w.machines.get(name);
+    if (m === undefined) continue;
+    const flying = inner(w.flying, name);
+    for (const i of list) {
+      const key = runKey(i.job, i.task, i.attempt);
+      flying.set(key, (flying.get(key) ?? 0) + 1);
+      i.sentAt = 0;
+    }
+    w.effects.push({
+      kind: 'direct',
+      machine: name,
+      session: m.session,
+      orders: list.map((i) => ({ op: 'start', job: i.job, task: i.task, attempt: i.attempt })),
+    });
+  }
+}
+
+/** From when on the lease of a silent worker is surely over, and with it every task it held. */
+export function leaseEnd(w: World, m: Machine): Steady {
+  // Until the worker has shown this term's token, an earlier owner may have answered it after we last did.
+  const answered = m.fenced || m.answered > w.othersQuiet ? m.answered : w.othersQuiet;
+  return answered + stretched(w.facts.lease) + seconds(0.5);
+}
+
+export function reapSilent(w: World, now: Now): void {
+  for (const m of w.machines.values()) {
+    if (m.intents.size === 0 || now.steady < leaseEnd(w, m)) continue;
+    let over = m.session;
+    for (const i of m.intents.values()) over = Math.max(over, i.session);
+    m.deadSession = Math.max(m.deadSession, over);
+    note(
+      w,
+      'lease over: its tasks are gone',
+      { machine: m.name, session: over, tasks: m.intents.size },
+      'info',
+    );
+    for (const i of [...m.intents.values()]) endIntent(w, i, false, 'lease over');
+    m.seen.clear();
+  }
+}
+
+/** Whether a task may be placed here now. */
+export function usable(w: World, m: Machine, now: Steady): boolean {
+  if (!m.fenced || m.session === 0 || m.session <= m.deadSession) return false;
+  if (m.setAside || m.returning || m.notice !== null || m.listed === 'failed') return false;
+  return now - m.heard <= (w.facts.report * 5n) / 2n + seconds(1) && w.types.has(m.type);
+}
+
+/** r_i: what neither an intent nor a reported task takes. */
+export function freeOn(w: World, m: Machine): Free {
+  const type = w.types.get(m.type);
+  if (type === undefined) return { cpus: 0, gpus: 0, memory: 0 };
+  const r: Free = { cpus: type.cpus, gpus: type.gpus, memory: type.memory };
+  const take = (s: Spec): void => {
+    r.cpus -= s.cpus;
+    r.gpus -= s.gpus;
+    r.memory -= s.memory;
+  };
+  for (const i of m.intents.values()) {
+    const job = w.jobs.get(i.job);
+    if (job !== undefined) take(job.spec);
+  }
+  for (const [key, t] of m.seen) {
+    const i = m.intents.get(key);
+    const job = w.jobs.get(t.job);
+    if (job !== undefined && (i === undefined || i.attempt !== t.attempt)) take(job.spec);
+  }
+  return r;
+}
+
+export function onList(w: World, list: readonly Listed[], now: Now): void {
+  const names = new Set<string>();
+  w.listSeen = true;
+  for (const l of list) {
+    names.add(l.name);
+    const m = machineOf(w, l.name, now.steady);
+    if (m.endpoint === '') m.endpoint = l.endpoint;
+    if (m.session === 0) {
+      m.type = l.type;
+      m.zone = l.zone;
+      m.spot = l.spot;
+      if (!w.booting.has(l.name) && l.state === 'booting')
+        w.booting.set(l.name, { type: l.type, zone: l.zone, spot: l.spot, since: now.steady - l.age });
+    }
+    if (m.listed !== l.state) w.needPass = true;
+    m.listed = l.state;
+    m.listedAt = now.steady;
+  }
+  // The list lags and may go back in time: only what has long been missing and silent is dropped.
+  const long = w.facts.listLag * 6n;
+  for (const m of [...w.machines.values()]) {
+    if (names.has(m.name) || m.intents.size > 0) continue;
+    const last = [m.heard, m.listedAt ?? 0n, m.firstKnown].reduce((a, b) => (a > b ? a : b));
+    if (now.steady - last > long && now.steady > leaseEnd(w, m)) {
+      w.machines.delete(m.name);
+      w.booting.delete(m.name);
+      w.loose.delete(m.name);
+      w.flying.delete(m.name);
+      w.forgets.delete(m.name);
+    }
+  }
+}
+
+/** The cloud has answered: these machines and all they held are gone. */
+export function onReturned(w: World, names: readonly string[]): void {
+  for (const name of names) {
+    const m = w.machines.get(name);
+    if (m === undefined) continue;
+    for (const i of [...m.intents.values()]) endIntent(w, i, false, 'machine returned');
+    w.machines.delete(name);
+    w.booting.delete(name);
+    w.loose.delete(name);
+    w.flying.delete(name);
+    w.forgets.delete(name);
+  }
+  w.needPass = true;
+}
+
+/** Asks machines that have not shown this term's token to take it: it is raised before anything else is done. */
+export function fence(w: World): void {
+  for (const m of w.machines.values()) {
+    if (m.fenced || m.endpoint === '' || m.listed === 'booting' || m.listed === 'failed') continue;
+    w.effects.push({ kind: 'direct', machine: m.name, session: Math.max(m.session, 1), orders: [] });
+  }
+}
+
+/** Whether some copy of a `run` blocks progress and only a higher token can settle that it never comes. */
+export function wantsHigherToken(w: World, now: Now): string | null {
+  if (now.steady - w.raisedAt < w.facts.lease / 2n || !mayStart(w.contact, now.steady)) return null;
+  for (const [name, loose] of w.loose) {
+    const m = w.machines.get(name);
+    if (m === undefined || loose.size === 0 || now.steady - m.heard > w.facts.report * 3n) continue;
+    for (const f of w.forgets.get(name)?.values() ?? [])
+      if (loose.has(runKey(f.job, f.task, f.attempt))) return `a result on ${name} cannot be forgotten`;
+    for (const i of m.intents.values())
+      if (i.stopping !== null && !m.seen.has(taskKey(i.job, i.task)) && !neverSent(w, i))
+        return `a stop on ${name} cannot be proven`;
+  }
+  return null;
+}
--- /dev/null
+++ b/src/core/model.ts
@@ -0,0 +1,224 @@
+import type { Span, Steady } from './time.js';
+
+export type Kind = 'array' | 'gang' | 'service';
+export type Priority = 'low' | 'normal' | 'high' | 'production';
+
+const RANKS: Record<Priority, number> = { low: 0, normal: 1, high: 2, production: 3 };
+export const rank = (p: Priority): number => RANKS[p];
+
+/** A job as its user described it, in the names used inside. */
+export interface Spec {
+  readonly id: string;
+  readonly class: string;
+  readonly team: string;
+  readonly kind: Kind;
+  readonly priority: Priority;
+  readonly tasks: number;
+  readonly cpus: number;
+  readonly gpus: number;
+  readonly memory: number;
+  readonly types: readonly string[] | null;
+  readonly zone: string | null;
+  readonly oneZone: boolean;
+  readonly spread: boolean;
+  readonly spot: boolean;
+  readonly image: string;
+  readonly imageGb: number;
+  readonly estimate: Span;
+  readonly checkpoint: Span;
+  readonly save: Span;
+  readonly due: Span | null;
+}
+
+/** What the state service holds for a job: its description, when it came, and how it stands. */
+export type Standing = 'open' | 'cancelled' | 'done';
+
+export interface JobRecord {
+  readonly spec: Spec;
+  readonly submitted: Date;
+  readonly standing: Standing;
+}
+
+/** One possible place of a task. It is committed before any `run` for it leaves this process. */
+export interface Intent {
+  readonly job: string;
+  readonly task: number;
+  readonly attempt: number;
+  readonly machine: string;
+  readonly session: number;
+  readonly zone: string;
+  /** Chunk version that first holds this intent; committed once the chunk's committed version reaches it. */
+  readonly version: number;
+  readonly created: Steady;
+  phase: Phase;
+  /** Set when the task is to end here; `grace` goes into the `halt`. */
+  stopping: { readonly grace: number; readonly why: string; readonly since: Steady } | null;
+  /** Sequence number of the report whose response last carried the `run`; null if none did. */
+  sentAt: number | null;
+  /** Token of a direct `run` whose outcome is unknown: a copy of it may still arrive. Null: none. */
+  loose: number | null;
+  /** Direct commands under way now. */
+  inFlight: number;
+  runningSince: Steady | null;
+}
+
+export type Phase = 'placed' | 'fetching' | 'waiting' | 'running' | 'saving';
+
+/** A run of a job's tasks whose state is kept under one key. */
+export interface Chunk {
+  readonly index: number;
+  /** Stamp of the key as last committed; 0: the key does not exist. */
+  stamp: number;
+  /** Highest attempt number given out in this chunk. */
+  attempt: number;
+  readonly done: Set<number>;
+  readonly intents: Map<number, Intent>;
+  version: number;
+  committed: number;
+}
+
+export interface Job {
+  readonly spec: Spec;
+  readonly submitted: Date;
+  standing: Standing;
+  /** Stamp of the job's key: every transaction of the owner about this job is guarded by it. */
+  stamp: number;
+  readonly chunks: Map<number, Chunk>;
+  doneCount: number;
+  placedCount: number;
+  doneWanted: boolean;
+  /** Machines on which tasks of this job failed, with how often. */
+  readonly failedOn: Map<string, number>;
+  failures: number;
+  /** Not placed again before this moment (pauses after failures). */
+  notBefore: Steady;
+  /** Tasks known to have neither result nor place; kept in order. */
+  readonly free: Set<number>;
+  arrived: Steady;
+  waitReason: string;
+}
+
+export interface MachineType {
+  readonly name: string;
+  readonly cpus: number;
+  readonly gpus: number;
+  readonly memory: number;
+  readonly cacheGb: number;
+  readonly fetchGbPerS: number;
+  readonly price: number;
+  readonly spotPrice: number;
+  readonly boot: Span;
+  readonly zones: readonly string[];
+}
+
+export interface SeenTask {
+  readonly job: string;
+  readonly task: number;
+  readonly attempt: number;
+  readonly state: 'fetching' | 'waiting' | 'running' | 'saving' | 'exited';
+  readonly why: string | null;
+  readonly saved: boolean;
+}
+
+/** A worker's report, from whichever connection it came. */
+export interface Report {
+  readonly machine: string;
+  readonly endpoint: string;
+  readonly type: string;
+  readonly zone: string;
+  readonly spot: boolean;
+  readonly session: number;
+  readonly seq: number;
+  readonly token: number;
+  readonly notice: Span | null;
+  readonly tasks: readonly SeenTask[];
+}
+
+export interface Listed {
+  readonly name: string;
+  readonly endpoint: string;
+  readonly type: string;
+  readonly zone: string;
+  readonly spot: boolean;
+  readonly state: 'booting' | 'running' | 'failed';
+  readonly age: Span;
+}
+
+export interface Machine {
+  readonly name: string;
+  endpoint: string;
+  type: string;
+  zone: string;
+  spot: boolean;
+  /** 0: no report seen yet. */
+  session: number;
+  seq: number;
+  token: number;
+  notice: Steady | null;
+  /** When the last report was answered by us, or when an earlier owner may last have answered one. */
+  answered: Steady;
+  heard: Steady;
+  /** The worker has shown the token of this term: only our answers reach it, and absence counts. */
+  fenced: boolean;
+  /** Sessions up to this one are over: their tasks are gone, and nothing starts in them. */
+  deadSession: number;
+  readonly intents: Map<string, Intent>;
+  /** Tasks last reported and not exited, by key, with their attempt. */
+  seen: Map<string, SeenTask>;
+  /** Halts to repeat for reported tasks that have no intent. */
+  readonly images: Map<string, { gb: number; used: Steady }>;
+  faults: Map<string, Steady>;
+  setAside: boolean;
+  setAsideSince: Steady | null;
+  idleSince: Steady | null;
+  listed: Listed['state'] | null;
+  listedAt: Steady | null;
+  returning: boolean;
+  firstKnown: Steady;
+}
+
+export interface Team {
+  readonly name: string;
+  readonly cpus: number;
+  readonly gpus: number;
+  readonly cpusMax: number;
+  readonly gpusMax: number;
+}
+
+export interface Objective {
+  readonly kind: string;
+  readonly class: string;
+  readonly within: Span | null;
+  readonly share: number;
+}
+
+/** The platform's facts as the core uses them. */
+export interface Facts {
+  readonly zones: readonly string[];
+  readonly teams: readonly Team[];
+  readonly objectives: readonly Objective[];
+  readonly report: Span;
+  readonly lease: Span;
+  readonly gangWait: Span;
+  readonly gangPeer: Span;
+  readonly cancel: Span;
+  readonly txnOps: number;
+  readonly listLag: Span;
+}
+
+/** Knobs of the design (the paper's symbols) and of what was added to it; operators may set them. */
+export interface Knobs {
+  readonly alpha: number;
+  readonly lambda: number;
+  readonly betaCs: number;
+  readonly betaRc: number;
+  readonly phi: number;
+  /** Image bandwidth in GB/s; null: the machine type's own. */
+  readonly bandwidth: number | null;
+  /** An idle machine is returned after this long. */
+  readonly idle: Span;
+  /** Different jobs failing on a machine before it is set aside. */
+  readonly faultJobs: number;
+}
+
+export const taskKey = (job: string, task: number): string => `${job}/${task}`;
--- /dev/null
+++ b/src/core/owner.ts
@@ -0,0 +1,210 @@
+import { logRent, onRefused, rentals, returns } from './fleet.js';
+import { intentsOf, machineOf, onChunk, onJob, type ChunkImage } from './jobs.js';
+import {
+  dispatch,
+  fence,
+  onDirect,
+  onList,
+  onReport,
+  onReturned,
+  ordersFor,
+  reapSilent,
+  tidyForgets,
+  wantsHigherToken,
+} from './machines.js';
+import type { Facts, Intent, JobRecord, Knobs, Listed, MachineType, Report } from './model.js';
+import { nextTransaction, settled, type Transaction } from './outbox.js';
+import { mayStart } from './parts.js';
+import { pass } from './pass.js';
+import { preempt } from './preempt.js';
+import { seconds, type Now, type Steady } from './time.js';
+import { newWorld, type Effect, type Order, type RentOrder, type Term, type World } from './world.js';
+
+/** What can happen to an owner. Each event is handled alone and yields what is to be done outside. */
+export type Event =
+  | { readonly kind: 'job'; readonly id: string; readonly record: JobRecord; readonly stamp: number }
+  | {
+      readonly kind: 'chunk';
+      readonly job: string;
+      readonly index: number;
+      readonly image: ChunkImage;
+      readonly stamp: number;
+    }
+  | { readonly kind: 'report'; readonly report: Report }
+  | {
+      readonly kind: 'direct';
+      readonly machine: string;
+      readonly session: number;
+      readonly token: number;
+      readonly orders: readonly Order[];
+      readonly outcome: 'executed' | 'refused' | 'unknown';
+      readonly report: Report | null;
+    }
+  | { readonly kind: 'settled'; readonly transaction: Transaction; readonly stamp: number }
+  | { readonly kind: 'contact'; readonly at: Steady }
+  | { readonly kind: 'raised'; readonly token: number }
+  | { readonly kind: 'types'; readonly types: readonly MachineType[] }
+  | { readonly kind: 'list'; readonly machines: readonly Listed[] }
+  | { readonly kind: 'renting'; readonly name: string; readonly order: RentOrder }
+  | { readonly kind: 'rented'; readonly name: string; readonly machines: readonly string[] | null }
+  | { readonly kind: 'returned'; readonly machines: readonly string[]; readonly ok: boolean }
+  | { readonly kind: 'tick' };
+
+/** The owner of a part: the whole of its knowledge, and the one place where events become effects. */
+export class Owner {
+  readonly world: World;
+  private fencedAt: Steady = 0n;
+  private fleetAt: Steady = 0n;
+  private preemptAt: Steady = 0n;
+
+  constructor(facts: Facts, knobs: Knobs, term: Term) {
+    this.world = newWorld(facts, knobs, term);
+  }
+
+  handle(event: Event, now: Now): Effect[] {
+    const w = this.world;
+    switch (event.kind) {
+      case 'job':
+        onJob(w, event.id, event.record, event.stamp, now);
+        break;
+      case 'chunk':
+        onChunk(w, event.job, event.index, event.image, event.stamp, now);
+        break;
+      case 'report':
+        onReport(w, event.report, now);
+        tidyForgets(w, event.report);
+        break;
+      case 'direct':
+        onDirect(w, event.machine, event.session, event.token, event.orders, event.outcome);
+        if (event.report !== null) onReport(w, event.report, now);
+        if (event.outcome === 'refused' && event.report !== null) this.refence(event.machine);
+        break;
+      case 'settled': {
+        settled(w, event.transaction, event.stamp);
+        dispatch(w, this.affected(event.transaction), now);
+        break;
+      }
+      case 'contact':
+        if (event.at > w.contact) w.contact = event.at;
+        break;
+      case 'raised':
+        w.token = event.token;
+        w.raisedAt = now.steady;
+        break;
+      case 'types':
+        for (const t of event.types) w.types.set(t.name, t);
+        w.needPass = true;
+        break;
+      case 'list':
+        onList(w, event.machines, now);
+        break;
+      case 'renting':
+        w.renting.set(event.name, { order: event.order, since: now.steady });
+        break;
+      case 'rented':
+        this.onRented(event.name, event.machines, now);
+        break;
+      case 'returned':
+        if (event.ok) onReturned(w, event.machines);
+        else for (const n of event.machines) this.unreturn(n);
+        break;
+      case 'tick':
+        this.onTick(now);
+        break;
+    }
+    if (w.needPass && event.kind !== 'chunk' && mayStart(w.contact, now.steady)) this.place(now);
+    const effects = w.effects;
+    w.effects = [];
+    return effects;
+  }
+
+  /** The answer to a machine's report. */
+  answer(machine: string, now: Now): Order[] {
+    return ordersFor(this.world, machine, now);
+  }
+
+  nextTransaction(): Transaction | null {
+    return nextTransaction(this.world);
+  }
+
+  private place(now: Now): void {
+    const w = this.world;
+    const blocked = pass(w, now);
+    if (blocked.length === 0) return;
+    if (now.steady - this.preemptAt > seconds(0.25)) {
+      this.preemptAt = now.steady;
+      preempt(w, blocked, now);
+    }
+  }
+
+  private onTick(now: Now): void {
+    const w = this.world;
+    reapSilent(w, now);
+    if (now.steady - this.fencedAt > seconds(2)) {
+      this.fencedAt = now.steady;
+      fence(w);
+    }
+    const why = wantsHigherToken(w, now);
+    if (why !== null) {
+      w.raisedAt = now.steady;
+      w.effects.push({ kind: 'raise', why });
+    }
+    if (now.steady - this.fleetAt > seconds(2) && mayStart(w.contact, now.steady)) {
+      this.fleetAt = now.steady;
+      this.runFleet(now);
+    }
+    w.needPass = w.waiting.size > 0;
+  }
+
+  private runFleet(now: Now): void {
+    const w = this.world;
+    const blocked = pass(w, now);
+    for (const order of rentals(w, blocked, now)) {
+      logRent(w, order);
+      w.effects.push({ kind: 'rent', order });
+    }
+    for (const r of returns(w, blocked, now)) {
+      for (const n of r.names) {
+        const m = w.machines.get(n);
+        if (m !== undefined) m.returning = true;
+      }
+      w.effects.push({ kind: 'return', machines: r.names, why: r.why });
+    }
+  }
+
+  private onRented(name: string, machines: readonly string[] | null, now: Now): void {
+    const w = this.world;
+    const pending = w.renting.get(name);
+    w.renting.delete(name);
+    if (pending === undefined) return;
+    if (machines === null || machines.length < pending.order.count) onRefused(w, pending.order, now);
+    const { type, zone, spot } = pending.order;
+    for (const name of machines ?? []) {
+      const m = machineOf(w, name, now.steady);
+      if (m.session > 0) continue;
+      Object.assign(m, { type, zone, spot });
+      w.booting.set(name, { type, zone, spot, since: now.steady });
+    }
+  }
+
+  private unreturn(name: string): void {
+    const m = this.world.machines.get(name);
+    if (m !== undefined) m.returning = false;
+  }
+
+  /** A machine that refused the token for its session has told its session: it is asked again at once. */
+  private refence(machine: string): void {
+    const m = this.world.machines.get(machine);
+    if (m === undefined || m.fenced || m.session === 0) return;
+    this.world.effects.push({ kind: 'direct', machine, session: m.session, orders: [] });
+  }
+
+  private affected(t: Transaction): Intent[] {
+    const out: Intent[] = [];
+    for (const id of t.jobs.keys()) {
+      const job = this.world.jobs.get(id);
+      if (job !== undefined && job.standing === 'open') out.push(...intentsOf(job));
+    }
+    return out;
+  }
+}
--- /dev/null
+++ b/src/core/pass.ts
@@ -0,0 +1,151 @@
+import { placeGang } from './gangs.js';
+import { chunkOf, place, zonesTaken } from './jobs.js';
+import { freeOn, usable } from './machines.js';
+import { rank, type Job } from './model.js';
+import { fits, machineAllowed, pick, zoneAllowed, type Candidate } from './placement.js';
+import { seconds, toSeconds, wallSeconds, type Now } from './time.js';
+import { note, type World } from './world.js';
+
+/** When a job should have started, by the objectives of its class, or else by its own due time. */
+export function wantedBy(w: World, job: Job): number {
+  let within = Infinity;
+  for (const o of w.facts.objectives) {
+    if (o.class !== job.spec.class || o.within === null) continue;
+    const span = toSeconds(o.within);
+    if (o.kind === 'wait') within = Math.min(within, span);
+    if (o.kind === 'finished') within = Math.min(within, Math.max(0, span - estimateOf(w, job)));
+  }
+  if (within === Infinity)
+    within = job.spec.due === null ? 120 : Math.max(0, toSeconds(job.spec.due) - estimateOf(w, job));
+  return job.submitted.getTime() / 1000 + within;
+}
+
+/** The owner's estimate, corrected by what was seen of the class. */
+export function estimateOf(w: World, job: Job): number {
+  return toSeconds(job.spec.estimate) * (w.pace.get(job.spec.class) ?? 1);
+}
+
+/** Waiting jobs in the order in which they are placed: priority, then guarantee, then due time. */
+export function queue(w: World, now: Now): Job[] {
+  const rows: { job: Job; rank: number; inside: number; by: number }[] = [];
+  for (const id of w.waiting) {
+    const job = w.jobs.get(id);
+    if (job === undefined || job.free.size === 0) {
+      w.waiting.delete(id);
+      continue;
+    }
+    if (job.standing !== 'open' || job.notBefore > now.steady) continue;
+    rows.push({
+      job,
+      rank: rank(job.spec.priority),
+      inside: w.quota.within(job.spec, job.free.size) ? 0 : 1,
+      by: wantedBy(w, job),
+    });
+  }
+  rows.sort(
+    (a, b) =>
+      b.rank - a.rank || a.inside - b.inside || a.by - b.by || (a.job.spec.id < b.job.spec.id ? -1 : 1),
+  );
+  return rows.map((r) => r.job);
+}
+
+export function candidates(w: World, now: Now): Candidate[] {
+  const out: Candidate[] = [];
+  for (const m of w.machines.values()) {
+    const type = w.types.get(m.type);
+    if (type === undefined || !usable(w, m, now.steady)) continue;
+    out.push({ machine: m, type, r: freeOn(w, m), zeta: m.intents.size });
+  }
+  return out;
+}
+
+/** One round of placement over the waiting jobs. Jobs that do not fit wait a round, as in the paper. */
+export function pass(w: World, now: Now): Job[] {
+  w.needPass = false;
+  const open = candidates(w, now);
+  const blocked: Job[] = [];
+  for (const job of queue(w, now)) {
+    const before = job.free.size;
+    if (job.spec.kind === 'gang') passGang(w, job, open, now);
+    else passSingly(w, job, open, now);
+    if (job.free.size > 0) blocked.push(job);
+    if (job.free.size < before)
+      note(w, 'placed', {
+        job: job.spec.id,
+        tasks: before - job.free.size,
+        waited: wallSeconds(job.submitted, now.wall),
+        left: job.free.size,
+      });
+  }
+  return blocked;
+}
+
+function book(open: Candidate[], chosen: Candidate, job: Job): void {
+  chosen.r.cpus -= job.spec.cpus;
+  chosen.r.gpus -= job.spec.gpus;
+  chosen.r.memory -= job.spec.memory;
+  open[open.indexOf(chosen)] = { ...chosen, zeta: chosen.zeta + 1 };
+}
+
+function passSingly(w: World, job: Job, open: Candidate[], now: Now): void {
+  const taken = zonesTaken(job);
+  for (const task of [...job.free]) {
+    if (!w.quota.allows(job.spec)) {
+      job.waitReason = 'team limit';
+      return;
+    }
+    const fitting = open.filter((c) => fits(job.spec, c.r) && machineAllowed(job.spec, c.machine));
+    const inZones = fitting.filter((c) => zoneAllowed(job, c.machine.zone, taken));
+    // The machine that failed a job comes last: it is used only if nothing else is left that fits.
+    const clean = inZones.filter((c) => !job.failedOn.has(c.machine.name));
+    const chosen = pick(
+      job.spec,
+      clean.length > 0 ? spreadOut(job, clean, taken) : retryable(job, inZones),
+      w.knobs,
+    );
+    if (chosen === null) {
+      job.waitReason = fitting.length === 0 ? 'no room' : 'zone rules';
+      return;
+    }
+    const attempt = chunkOf(job, task).attempt + 1;
+    place(w, job, task, attempt, chosen.machine, now.steady);
+    taken.set(chosen.machine.zone, (taken.get(chosen.machine.zone) ?? 0) + 1);
+    book(open, chosen, job);
+  }
+}
+
+/** Replicas go to the zones that hold fewest of their job, so that one lost zone or machine costs little. */
+function spreadOut(job: Job, list: Candidate[], taken: ReadonlyMap<string, number>): Candidate[] {
+  if (job.spec.kind !== 'service' || job.spec.tasks < 2) return list;
+  const least = Math.min(...list.map((c) => taken.get(c.machine.zone) ?? 0));
+  return list.filter((c) => (taken.get(c.machine.zone) ?? 0) === least);
+}
+
+/** A job failing everywhere goes round again, on the machines that failed it least often. */
+function retryable(job: Job, list: Candidate[]): Candidate[] {
+  if (list.length === 0) return list;
+  const count = (c: Candidate): number => job.failedOn.get(c.machine.name) ?? 0;
+  const least = Math.min(...list.map(count));
+  return list.filter((c) => count(c) === least);
+}
+
+function passGang(w: World, job: Job, open: Candidate[], now: Now): void {
+  if (job.placedCount > 0 || job.free.size !== job.spec.tasks) {
+    job.waitReason = 'tasks of the last attempt are not all gone';
+    return;
+  }
+  if (!w.quota.allows(job.spec, job.spec.tasks)) {
+    job.waitReason = 'team limit';
+    return;
+  }
+  const placed = placeGang(w, job, open, now.steady);
+  if (placed === null) {
+    job.waitReason = 'no room for all tasks at once';
+    if (job.failedOn.size > 0 && now.steady - job.arrived > seconds(30)) job.failedOn.clear();
+    return;
+  }
+  for (const i of placed) {
+    const c = open.find((x) => x.machine.name === i.machine);
+    if (c !== undefined) book(open, c, job);
+  }
+}
--- /dev/null
+++ b/src/core/placement.ts
@@ -0,0 +1,97 @@
+import type { Job, Knobs, Machine, MachineType, Spec } from './model.js';
+import { seconds, toSeconds, type Steady } from './time.js';
+
+/**
+ * The design's core: filter by request, score by weighted delays plus contention, pick the largest smaller free
+ * share within the band. The names are the paper's: r (free resources), c (request), ζ (tasks held), Ω, Γ, λ.
+ */
+export interface Free {
+  cpus: number;
+  gpus: number;
+  memory: number;
+}
+
+export interface Candidate {
+  readonly machine: Machine;
+  readonly type: MachineType;
+  /** r_i: what no intent and no reported task takes. */
+  readonly r: Free;
+  /** ζ_i: tasks held. */
+  readonly zeta: number;
+}
+
+const EPSILON = 1e-6;
+
+export function fits(c: Spec, r: Free): boolean {
+  return c.cpus <= r.cpus + EPSILON && c.gpus <= r.gpus + EPSILON && c.memory <= r.memory + EPSILON;
+}
+
+/** Ã, eq. (9), with twice the request as the limit. */
+export function grantedCpu(c: number, r: number, phi: number): number {
+  return Math.max(c, Math.min(phi * r, 2 * c));
+}
+
+/** Γ, eq. (18): nothing on an empty machine, doubling with each task held. */
+export function contention(zeta: number, knobs: Knobs): number {
+  return zeta > 0 ? knobs.betaCs + 2 ** (zeta - 1) * knobs.betaRc : 0;
+}
+
+/** Ω in seconds for running `c` on the candidate. */
+export function omega(c: Spec, cand: Candidate, knobs: Knobs): number {
+  const granted = grantedCpu(c.cpus, cand.r.cpus, knobs.phi);
+  const processing = granted > 0 ? (toSeconds(c.estimate) * c.cpus) / granted : toSeconds(c.estimate);
+  const bandwidth = knobs.bandwidth ?? cand.type.fetchGbPerS;
+  const network = cand.machine.images.has(c.image) ? 0 : c.imageGb / Math.max(bandwidth, EPSILON);
+  return knobs.alpha * processing + (1 - knobs.alpha) * network + contention(cand.zeta, knobs);
+}
+
+const share = (part: number, whole: number): number => (whole > 0 ? part / whole : 1);
+
+/** The smaller of the free CPU and free memory shares. */
+export function freeShare(cand: Candidate): number {
+  return Math.min(share(cand.r.cpus, cand.type.cpus), share(cand.r.memory, cand.type.memory));
+}
+
+/** Algorithm 2: among the candidates within λ of the best Ω, the largest smaller free share. */
+export function pick(c: Spec, candidates: readonly Candidate[], knobs: Knobs): Candidate | null {
+  const scored = candidates.map((cand) => ({ cand, score: omega(c, cand, knobs) }));
+  let best = Infinity;
+  for (const s of scored) best = Math.min(best, s.score);
+  let chosen: Candidate | null = null;
+  for (const { cand, score } of scored) {
+    if (score > best + knobs.lambda) continue;
+    // Equal shares go by name, so that the same picture always gives the same place.
+    if (
+      chosen === null ||
+      freeShare(cand) > freeShare(chosen) + EPSILON ||
+      (Math.abs(freeShare(cand) - freeShare(chosen)) <= EPSILON && cand.machine.name < chosen.machine.name)
+    )
+      chosen = cand;
+  }
+  return chosen;
+}
+
+/** Zones in which another task of the job may start, given where its tasks may be now. */
+export function zoneAllowed(job: Job, zone: string, taken: ReadonlyMap<string, number>): boolean {
+  const spec = job.spec;
+  if (spec.zone !== null && spec.zone !== zone) return false;
+  if (spec.oneZone) for (const [z, n] of taken) if (n > 0 && z !== zone) return false;
+  if (spec.spread && (taken.get(zone) ?? 0) + 1 > Math.ceil(spec.tasks / 2)) return false;
+  return true;
+}
+
+/** What the job's own words say about a machine, whatever is free on it. */
+export function machineAllowed(spec: Spec, machine: Machine): boolean {
+  if (spec.types !== null && !spec.types.includes(machine.type)) return false;
+  if (machine.spot && !spec.spot) return false;
+  return spec.zone === null || spec.zone === machine.zone;
+}
+
+/** A machine that failed this job is avoided for a pause that grows with the job's failures on it. */
+export function avoided(job: Job, machine: Machine): boolean {
+  return job.failedOn.has(machine.name);
+}
+
+export function failurePause(failures: number): Steady {
+  return seconds(Math.min(2 ** Math.min(failures, 10) * 0.5, 60));
+}
--- /dev/null
+++ b/src/core/quota.ts
@@ -0,0 +1,82 @@
+import type { Job, Spec, Team } from './model.js';
+
+/** What a team's tasks may hold anywhere, by its recorded intents. */
+export interface Usage {
+  cpus: number;
+  gpus: number;
+}
+
+export class Quota {
+  private readonly usage = new Map<string, Usage>();
+  private readonly teams: ReadonlyMap<string, Team>;
+
+  constructor(teams: readonly Team[]) {
+    this.teams = new Map(teams.map((t) => [t.name, t]));
+  }
+
+  of(team: string): Usage {
+    let u = this.usage.get(team);
+    if (u === undefined) {
+      u = { cpus: 0, gpus: 0 };
+      this.usage.set(team, u);
+    }
+    return u;
+  }
+
+  take(spec: Spec): void {
+    const u = this.of(spec.team);
+    u.cpus += spec.cpus;
+    u.gpus += spec.gpus;
+  }
+
+  release(spec: Spec): void {
+    const u = this.of(spec.team);
+    u.cpus -= spec.cpus;
+    u.gpus -= spec.gpus;
+  }
+
+  /** Whether `count` more tasks stay within the team's limit. 0 means no limit. */
+  allows(spec: Spec, count = 1): boolean {
+    const team = this.teams.get(spec.team);
+    if (team === undefined) return false;
+    const u = this.of(spec.team);
+    const over = (used: number, each: number, max: number): boolean =>
+      max > 0 && used + each * count > max + 1e-6;
+    return !over(u.cpus, spec.cpus, team.cpusMax) && !over(u.gpus, spec.gpus, team.gpusMax);
+  }
+
+  /** Whether the team's use, after taking `count` tasks, would be inside its guarantee. */
+  within(spec: Spec, count: number): boolean {
+    const team = this.teams.get(spec.team);
+    if (team === undefined) return false;
+    const u = this.of(spec.team);
+    const inside = (used: number, each: number, g: number): boolean =>
+      g > 0 ? used + each * count <= g + 1e-6 : false;
+    return (
+      (team.gpus > 0 ? inside(u.gpus, spec.gpus, team.gpus) : team.cpus > 0) &&
+      (team.cpus > 0 ? inside(u.cpus, spec.cpus, team.cpus) : team.gpus > 0)
+    );
+  }
+
+  /** Whether the team holds more than its guarantee, so that others may reclaim from it. */
+  borrows(team: string): boolean {
+    const t = this.teams.get(team);
+    if (t === undefined) return true;
+    const u = this.of(team);
+    if (t.cpus <= 0 && t.gpus <= 0) return true;
+    return (t.gpus > 0 && u.gpus > t.gpus + 1e-6) || (t.cpus > 0 && u.cpus > t.cpus + 1e-6);
+  }
+}
+
+/** Whether a job as submitted could ever be inside its team's limit. */
+export function everWithinLimit(spec: Spec, teams: readonly Team[]): boolean {
+  const team = teams.find((t) => t.name === spec.team);
+  if (team === undefined) return false;
+  const n = spec.kind === 'array' ? 1 : spec.tasks;
+  return (
+    (team.cpusMax <= 0 || spec.cpus * n <= team.cpusMax + 1e-6) &&
+    (team.gpusMax <= 0 || spec.gpus * n <= team.gpusMax + 1e-6)
+  );
+}
+
+export const needsAllTasks = (job: Job): boolean => job.spec.kind === 'gang';
--- /dev/null
+++ b/src/core/world.ts
@@ -0,0 +1,157 @@
+import type { Facts, Intent, Job, Knobs, Machine, MachineType } from './model.js';
+import { Quota } from './quota.js';
+import type { Span, Steady } from './time.js';
+
+export interface Order {
+  readonly op: 'start' | 'stop' | 'forget';
+  readonly job: string;
+  readonly task: number;
+  readonly attempt: number;
+  readonly grace?: number;
+}
+
+export interface RentOrder {
+  readonly type: string;
+  readonly zone: string;
+  readonly spot: boolean;
+  readonly count: number;
+}
+
+/** What the core wants done outside. */
+export type Effect =
+  | {
+      readonly kind: 'direct';
+      readonly machine: string;
+      readonly session: number;
+      readonly orders: readonly Order[];
+    }
+  | { readonly kind: 'rent'; readonly order: RentOrder }
+  | { readonly kind: 'return'; readonly machines: readonly string[]; readonly why: string }
+  | { readonly kind: 'raise'; readonly why: string }
+  | { readonly kind: 'deposed'; readonly token: number }
+  | {
+      readonly kind: 'note';
+      readonly level: 'info' | 'debug';
+      readonly text: string;
+      readonly about: Record<string, unknown>;
+    };
+
+/** A rental under way or recently refused. */
+export interface Pending {
+  readonly order: RentOrder;
+  readonly since: Steady;
+}
+
+/** Everything the owner of a part knows. One object, changed only by the core's own functions. */
+export interface World {
+  readonly facts: Facts;
+  readonly knobs: Knobs;
+  readonly jobs: Map<string, Job>;
+  readonly machines: Map<string, Machine>;
+  readonly types: Map<string, MachineType>;
+  readonly quota: Quota;
+  /** Token now in force and the one with which this term began. */
+  token: number;
+  readonly firstToken: number;
+  readonly began: Steady;
+  /** From here on no earlier owner can be answering reports. */
+  readonly othersQuiet: Steady;
+  /** Last moment at which the state service surely knew us as owner, with a copy that was current. */
+  contact: Steady;
+  raisedAt: Steady;
+  /** Chunks with uncommitted changes, oldest first, as `job/index`. */
+  readonly dirty: Map<string, { job: string; index: number }>;
+  readonly dirtyJobs: Set<string>;
+  /** Jobs that have tasks without a place. */
+  readonly waiting: Set<string>;
+  needPass: boolean;
+  effects: Effect[];
+  /** Results whose `forget` waits for a commit: machine -> task key. */
+  readonly forgets: Map<string, Map<string, Forget>>;
+  /** Copies of `run` that may still arrive at a machine: machine -> `key#attempt` -> token they carry. */
+  readonly loose: Map<string, Map<string, number>>;
+  /** Direct commands under way: machine -> `key#attempt` -> how many. */
+  readonly flying: Map<string, Map<string, number>>;
+  readonly booting: Map<string, { type: string; zone: string; spot: boolean; since: Steady }>;
+  readonly renting: Map<string, Pending>;
+  readonly refused: Map<string, Steady>;
+  /** Estimates corrected by what was seen: class -> factor. */
+  readonly pace: Map<string, number>;
+  rentedAt: Steady;
+  listSeen: boolean;
+}
+
+export interface Forget {
+  readonly job: string;
+  readonly task: number;
+  readonly attempt: number;
+  readonly index: number | null;
+  readonly version: number;
+  readonly since: Steady;
+}
+
+export interface Term {
+  readonly token: number;
+  readonly began: Steady;
+  readonly othersQuiet: Steady;
+}
+
+export function newWorld(facts: Facts, knobs: Knobs, term: Term): World {
+  return {
+    facts,
+    knobs,
+    jobs: new Map(),
+    machines: new Map(),
+    types: new Map(),
+    quota: new Quota(facts.teams),
+    token: term.token,
+    firstToken: term.token,
+    began: term.began,
+    othersQuiet: term.othersQuiet,
+    contact: term.began,
+    raisedAt: term.began,
+    dirty: new Map(),
+    dirtyJobs: new Set(),
+    waiting: new Set(),
+    needPass: true,
+    effects: [],
+    forgets: new Map(),
+    loose: new Map(),
+    flying: new Map(),
+    booting: new Map(),
+    renting: new Map(),
+    refused: new Map(),
+    pace: new Map(),
+    rentedAt: term.began,
+    listSeen: false,
+  };
+}
+
+export const runKey = (job: string, task: number, attempt: number): string => `${job}/${task}#${attempt}`;
+
+export function inner<K, V>(outer: Map<string, Map<K, V>>, key: string): Map<K, V> {
+  let m = outer.get(key);
+  if (m === undefined) {
+    m = new Map();
+    outer.set(key, m);
+  }
+  return m;
+}
+
+export function note(
+  w: World,
+  text: string,
+  about: Record<string, unknown>,
+  level: 'info' | 'debug' = 'debug',
+): void {
+  w.effects.push({ kind: 'note', level, text, about });
+}
+
+/** Whether some copy of the intent's `run` may still reach its machine. */
+export function mayArrive(w: World, i: Intent): boolean {
+  const key = runKey(i.job, i.task, i.attempt);
+  return w.loose.get(i.machine)?.has(key) === true || (w.flying.get(i.machine)?.get(key) ?? 0) > 0;
+}
+
+export const DRIFT_SHARE = 1000n; // clocks differ by 0.05%; twice that, as a share of the span
+export const stretched = (s: Span): Span => s + s / DRIFT_SHARE;
--- /dev/null
+++ b/src/edge/cloud.ts
@@ -0,0 +1,67 @@
+import type { Listed, MachineType } from '../core/model.js';
+import type { RentOrder } from '../core/world.js';
+import { CLOUD_PATHS, listQuery, parseList, parseTypes, rentBody, returnBody } from '../wire/dialect.js';
+import * as schemas from '../wire/schemas.js';
+import { Allowance, pause } from './duty.js';
+import { Client, type Outcome } from './http.js';
+import { jittered } from './jitter.js';
+
+/** The cloud's client. Calls stay below the cloud's limit and are repeated with growing pauses when refused. */
+export class Cloud {
+  private readonly client: Client;
+  private readonly allowance: Allowance;
+
+  constructor(addr: string, rps: number) {
+    this.client = new Client(addr, 4);
+    this.allowance = new Allowance(rps / 2, Math.max(1, rps / 2));
+  }
+
+  async types(signal: AbortSignal): Promise<MachineType[] | null> {
+    const o = await this.call('GET', CLOUD_PATHS.types, undefined, signal);
+    if (o.kind !== 'answer' || o.status !== 200) return null;
+    const r = parseTypes(o.body);
+    return r.ok ? r.value : null;
+  }
+
+  /** The whole list, or null if any page could not be had. */
+  async list(signal: AbortSignal): Promise<Listed[] | null> {
+    const all: Listed[] = [];
+    for (;;) {
+      const o = await this.call('GET', listQuery(all[all.length - 1]?.name ?? null, 500), undefined, signal);
+      if (o.kind !== 'answer' || o.status !== 200) return null;
+      const r = parseList(o.body);
+      if (!r.ok) return null;
+      all.push(...r.value.machines);
+      if (!r.value.more) return all;
+    }
+  }
+
+  /** Rents under a name that is never used for anything else; repeated until the answer is known or time is up. */
+  async rent(name: string, order: RentOrder, signal: AbortSignal): Promise<string[] | null> {
+    for (let n = 0; n < 4 && !signal.aborted; n++) {
+      const o = await this.call('POST', CLOUD_PATHS.machines, rentBody(name, order), signal);
+      if (o.kind === 'answer' && o.status === 200) {
+        const r = schemas.rented.safeParse(o.body);
+        return r.success ? r.data.rigs : null;
+      }
+      if (o.kind === 'answer' && (o.status === 400 || o.status === 503)) return null;
+      await pause(jittered(400 * 2 ** n), signal);
+    }
+    return null;
+  }
+
+  async remove(names: readonly string[], signal: AbortSignal): Promise<boolean> {
+    for (let n = 0; n < 4 && !signal.aborted; n++) {
+      const o = await this.call('POST', CLOUD_PATHS.remove, returnBody(names), signal);
+      if (o.kind === 'answer' && o.status === 200) return true;
+      await pause(jittered(400 * 2 ** n), signal);
+    }
+    return false;
+  }
+
+  private async call(method: string, path: string, body: unknown, signal: AbortSignal): Promise<Outcome> {
+    const wait = this.allowance.take(1);
+    if (wait > 0) await pause(wait, signal);
+    return this.client.request(method, path, body, 4000, signal);
+  }
+}
--- /dev/null
+++ b/src/edge/desk.ts
@@ -0,0 +1,162 @@
+import type { JobRecord, MachineType, Spec, Team } from '../core/model.js';
+import { everWithinLimit } from '../core/quota.js';
+import type { UserStanding } from '../wire/dialect.js';
+import { ROOT, chunkKey, jobKey, parseKey, readChunk, readJob, writeJob } from '../wire/records.js';
+import { CHUNK_TASKS } from '../core/jobs.js';
+import { millisSince, steady } from './clock.js';
+import { jittered } from './jitter.js';
+import type { Store } from './store.js';
+
+export interface View {
+  readonly id: string;
+  readonly standing: UserStanding;
+  readonly done: number;
+  readonly running: number;
+}
+
+/** `later`: not now, come again after so many seconds. */
+export type Answer<T> =
+  | { readonly kind: 'ok'; readonly value: T; readonly fresh: boolean }
+  | { readonly kind: 'never'; readonly why: string }
+  | { readonly kind: 'absent' }
+  | { readonly kind: 'later'; readonly seconds: number; readonly why: string };
+
+const SUBMIT_LIMIT_MS = 3500;
+const POLL_LIMIT_MS = 1500;
+/** Askers that may wait inside at once; more are refused at the door. */
+const ROOM = 48;
+
+/** What users ask, answered from the followed copy and by guarded writes. Every controller does this. */
+export class Desk {
+  private inside = 0;
+  types: readonly MachineType[] = [];
+
+  constructor(
+    private readonly store: Store,
+    private readonly teams: readonly Team[],
+  ) {}
+
+  get ready(): boolean {
+    return this.store.loaded && this.types.length > 0;
+  }
+
+  view(id: string): View | null {
+    const e = this.store.copy.get(jobKey(id));
+    if (e === undefined) return null;
+    const job = readJob(e.value);
+    let done = 0;
+    let placed = 0;
+    for (let index = 0; index * CHUNK_TASKS < job.spec.tasks; index++) {
+      const c = this.store.copy.get(chunkKey(id, index));
+      if (c === undefined) continue;
+      const chunk = readChunk(c.value);
+      done += chunk.done.length;
+      placed += chunk.intents.length;
+    }
+    const standing = job.standing === 'open' ? (placed + done > 0 ? 'running' : 'pending') : job.standing;
+    return { id, standing, done, running: placed };
+  }
+
+  /** A job's state: at once if final, else from a copy as fresh as the asking. */
+  async look(id: string, limitMs = POLL_LIMIT_MS): Promise<Answer<View>> {
+    const known = this.view(id);
+    if (known !== null && (known.standing === 'done' || known.standing === 'cancelled')) return ok(known);
+    if (this.inside >= ROOM) return busy;
+    this.inside += 1;
+    try {
+      if (!this.store.loaded || !(await this.store.fresh(limitMs))) return cut;
+      const v = this.view(id);
+      return v === null ? { kind: 'absent' } : ok(v);
+    } finally {
+      this.inside -= 1;
+    }
+  }
+
+  /** Takes a job in. `spec` is null if the body was wrong; a known job gets its state all the same. */
+  async submit(id: string, spec: Spec | string): Promise<Answer<View>> {
+    if (this.store.copy.has(jobKey(id))) return this.look(id, SUBMIT_LIMIT_MS);
+    const why = typeof spec === 'string' ? spec : this.neverRuns(spec);
+    if (why !== null) {
+      const v = await this.look(id, SUBMIT_LIMIT_MS);
+      return v.kind === 'absent' ? { kind: 'never', why } : v;
+    }
+    if (typeof spec === 'string') return { kind: 'never', why: spec };
+    if (!this.ready) return { kind: 'later', seconds: 2, why: 'machine types are not known yet' };
+    if (this.inside >= ROOM) return busy;
+    this.inside += 1;
+    try {
+      return await this.write(spec);
+    } finally {
+      this.inside -= 1;
+    }
+  }
+
+  private async write(spec: Spec): Promise<Answer<View>> {
+    const began = steady();
+    const record: JobRecord = { spec, submitted: new Date(), standing: 'open' };
+    const key = jobKey(spec.id);
+    for (let n = 0; ; n++) {
+      const r = await this.store.commit([{ key, stamp: 0 }], [{ write: key, value: writeJob(record) }]);
+      if (r.kind === 'ok')
+        return { kind: 'ok', fresh: true, value: { id: spec.id, standing: 'pending', done: 0, running: 0 } };
+      if (r.kind === 'conflict') {
+        if (!(await this.store.reached(r.rev, SUBMIT_LIMIT_MS - millisSince(began)))) return cut;
+        return this.look(spec.id, 1000);
+      }
+      const pauseMs = jittered(150 * 2 ** n);
+      if (millisSince(began) + pauseMs > (r.kind === 'refused' ? 1200 : SUBMIT_LIMIT_MS)) return cut;
+      await new Promise((done) => setTimeout(done, pauseMs));
+    }
+  }
+
+  /** Cancels a job. The answer is given only when the cancellation, or an earlier end, is committed. */
+  async cancel(id: string): Promise<Answer<View>> {
+    const began = steady();
+    for (let n = 0; millisSince(began) < SUBMIT_LIMIT_MS; n++) {
+      const seen = this.view(id);
+      if (seen !== null && (seen.standing === 'done' || seen.standing === 'cancelled')) return ok(seen);
+      const e = this.store.copy.get(jobKey(id));
+      if (e === undefined || n > 0) {
+        const v = await this.look(id, 1500);
+        if (v.kind !== 'ok' || v.value.standing === 'done' || v.value.standing === 'cancelled') return v;
+      }
+      const entry = this.store.copy.get(jobKey(id));
+      if (entry === undefined) continue;
+      const record: JobRecord = { ...readJob(entry.value), standing: 'cancelled' };
+      const r = await this.store.commit(
+        [{ key: jobKey(id), stamp: entry.stamp }],
+        [{ write: jobKey(id), value: writeJob(record) }],
+      );
+      if (r.kind === 'ok')
+        return { kind: 'ok', fresh: true, value: { id, standing: 'cancelled', done: 0, running: 0 } };
+      if (r.kind === 'refused') await new Promise((done) => setTimeout(done, jittered(150 * 2 ** n)));
+    }
+    return cut;
+  }
+
+  private neverRuns(spec: Spec): string | null {
+    if (!this.teams.some((t) => t.name === spec.team)) return `unknown team ${spec.team}`;
+    if (!everWithinLimit(spec, this.teams)) return 'more than the limit of its team';
+    if (this.types.length === 0) return null;
+    const fits = this.types.some(
+      (t) =>
+        (spec.types === null || spec.types.includes(t.name)) &&
+        (spec.zone === null || t.zones.includes(spec.zone)) &&
+        spec.cpus <= t.cpus &&
+        spec.gpus <= t.gpus &&
+        spec.memory <= t.memory,
+    );
+    return fits ? null : 'a task fits no machine type it may use';
+  }
+
+  jobCount(): number {
+    let n = 0;
+    for (const key of this.store.copy.keys())
+      if (key.startsWith(ROOT) && parseKey(key).kind === 'job') n += 1;
+    return n;
+  }
+}
+
+const ok = (value: View): Answer<View> => ({ kind: 'ok', value, fresh: false });
+const cut: Answer<never> = { kind: 'later', seconds: 1, why: 'the state service does not answer' };
+const busy: Answer<never> = { kind: 'later', seconds: 1, why: 'too many askers' };
--- /dev/null
+++ b/src/edge/knobs.ts
@@ -0,0 +1,91 @@
+import { readFileSync } from 'node:fs';
+import { parse, type Node } from 'sexpr-plus';
+import type { Knobs } from '../core/model.js';
+import { seconds, toSeconds } from '../core/time.js';
+import { SettingsError } from './settings.js';
+
+/** The operators' own settings: S-expressions such as `(placement (alpha 0.5) (lambda 0.5))`, with checked ranges. */
+interface Range {
+  readonly low: number;
+  readonly high: number;
+  readonly set: (k: Mutable<Knobs>, v: number) => void;
+  readonly get: (k: Knobs) => number | null;
+}
+type Mutable<T> = { -readonly [K in keyof T]: T[K] };
+
+export const DEFAULTS: Knobs = {
+  alpha: 0.5,
+  lambda: 0.5,
+  betaCs: 0.01,
+  betaRc: 0.02,
+  phi: 0.5,
+  bandwidth: null,
+  idle: seconds(40),
+  faultJobs: 2,
+};
+
+export const KNOBS: Record<string, Record<string, Range>> = {
+  placement: {
+    alpha: { low: 0.25, high: 0.75, set: (k, v) => (k.alpha = v), get: (k) => k.alpha },
+    lambda: { low: 0, high: 60, set: (k, v) => (k.lambda = v), get: (k) => k.lambda },
+    'beta-cs': { low: 0, high: 60, set: (k, v) => (k.betaCs = v), get: (k) => k.betaCs },
+    'beta-rc': { low: 0, high: 60, set: (k, v) => (k.betaRc = v), get: (k) => k.betaRc },
+    phi: { low: 0.01, high: 1, set: (k, v) => (k.phi = v), get: (k) => k.phi },
+    bandwidth: { low: 0.001, high: 1000, set: (k, v) => (k.bandwidth = v), get: (k) => k.bandwidth },
+  },
+  fleet: {
+    'idle-s': { low: 5, high: 86_400, set: (k, v) => (k.idle = seconds(v)), get: (k) => toSeconds(k.idle) },
+  },
+  machines: {
+    'fault-jobs': {
+      low: 1,
+      high: 100,
+      set: (k, v) => (k.faultJobs = Math.round(v)),
+      get: (k) => k.faultJobs,
+    },
+  },
+};
+
+export function parseKnobs(text: string, name: string): Knobs {
+  const knobs: Mutable<Knobs> = { ...DEFAULTS };
+  let forms: Node[];
+  try {
+    forms = parse(text);
+  } catch (e) {
+    throw new SettingsError(`${name}: ${e instanceof Error ? e.message : String(e)}`);
+  }
+  const fail = (n: Node, why: string): never => {
+    throw new SettingsError(`${name}:${n.location.start.line}: ${why}`);
+  };
+  const listOf = (n: Node): Node[] => (n.type === 'list' ? n.content : fail(n, 'expected a list'));
+  const atomOf = (n: Node | undefined, at: Node): string =>
+    n !== undefined && n.type === 'atom' ? n.content : fail(n ?? at, 'expected a name or a number');
+  for (const form of forms) {
+    const [head, ...entries] = listOf(form);
+    const group = atomOf(head, form);
+    const known =
+      KNOBS[group] ?? fail(form, `unknown group "${group}" (known: ${Object.keys(KNOBS).join(', ')})`);
+    for (const entry of entries) {
+      const parts = listOf(entry);
+      const key = atomOf(parts[0], entry);
+      const range = known[key] ?? fail(entry, `unknown setting "${key}" in ${group}`);
+      const value = Number(atomOf(parts[1], entry));
+      if (parts.length !== 2 || !Number.isFinite(value)) fail(entry, `${key} takes one number`);
+      if (value < range.low || value > range.high)
+        fail(entry, `${key} must be from ${range.low} to ${range.high}`);
+      range.set(knobs, value);
+    }
+  }
+  return knobs;
+}
+
+export function readKnobs(path: string | undefined): Knobs {
+  if (path === undefined) return DEFAULTS;
+  let text: string;
+  try {
+    text = readFileSync(path, 'utf8');
+  } catch (e) {
+    throw new SettingsError(`cannot read ${path}: ${(e as NodeJS.ErrnoException).code ?? String(e)}`);
+  }
+  return parseKnobs(text, path);
+}
--- /dev/null
+++ b/src/edge/ownership.ts
@@ -0,0 +1,127 @@
+import type { Subscription } from 'rxjs';
+import type { Facts, Knobs } from '../core/model.js';
+import { toSeconds } from '../core/time.js';
+import { partKey, readPart, type PartRecord } from '../wire/records.js';
+import type { Cloud } from './cloud.js';
+import { Wake, duty, messageOf } from './duty.js';
+import { jittered } from './jitter.js';
+import type { Log } from './log.js';
+import type { Store } from './store.js';
+import { Term } from './term.js';
+
+/** Takes a part when it is free, and says who has it. */
+export class Ownership {
+  private current: Term | null = null;
+  private readonly wake = new Wake();
+  private readonly record: PartRecord;
+
+  constructor(
+    private readonly part: string,
+    label: string,
+    incarnation: string,
+    private readonly facts: Facts,
+    private readonly knobs: Knobs,
+    private readonly store: Store,
+    private readonly cloud: Cloud,
+    private readonly log: Log,
+    private readonly writeRps: number,
+  ) {
+    this.record = { label, incarnation };
+  }
+
+  get term(): Term | null {
+    return this.current;
+  }
+
+  /** The label of the part's present owner, as far as the followed copy knows. */
+  ownerLabel(): string | null {
+    const e = this.store.copy.get(partKey(this.part));
+    return e === undefined ? null : readPart(e.value).label;
+  }
+
+  start(): Subscription {
+    const routines = duty('ownership', this.log, (s) => this.run(s));
+    routines.add(
+      this.store.changes.subscribe((c) => {
+        if (c.key === partKey(this.part) && c.entry === null) this.wake.wake();
+      }),
+    );
+    routines.add(() => this.current?.end('stopping'));
+    return routines;
+  }
+
+  private async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      if (this.current === null && this.store.loaded) {
+        try {
+          await this.attempt();
+        } catch (e) {
+          this.log.warn({ error: messageOf(e) }, 'taking the part failed');
+        }
+      }
+      await this.wake.wait(jittered(700), signal);
+    }
+  }
+
+  private async attempt(): Promise<void> {
+    const key = partKey(this.part);
+    const known = this.store.copy.get(key);
+    if (known !== undefined) {
+      const holder = readPart(known.value);
+      // An earlier process under our own label has surely ended: there is one process per label at a time.
+      if (holder.label !== this.record.label) return;
+      if (holder.incarnation === this.record.incarnation) return;
+    }
+    const ttlMs = this.holdMs();
+    const permit = await this.store.hold(ttlMs);
+    if (permit === null) return;
+    const r = await this.store.commit(
+      [{ key, stamp: known?.stamp ?? 0 }],
+      [{ write: key, value: this.record, permit }],
+    );
+    if (r.kind !== 'ok') {
+      // Whatever became of it, the key must not stay with a hold that nobody renews.
+      await this.store.drop(permit);
+      return;
+    }
+    if (!(await this.store.reached(r.rev, 5000))) {
+      await this.store.drop(permit);
+      return;
+    }
+    this.begin(r.rev, permit, ttlMs);
+  }
+
+  private begin(token: number, permit: number, ttlMs: number): void {
+    const term = new Term(
+      {
+        part: this.part,
+        record: this.record,
+        facts: this.facts,
+        knobs: this.knobs,
+        store: this.store,
+        cloud: this.cloud,
+        log: this.log,
+        writeRps: this.writeRps,
+        onEnd: () => {
+          if (this.current === term) this.current = null;
+          this.store.followGapMs = FOLLOWER_GAP_MS;
+          this.wake.wake();
+        },
+      },
+      token,
+      permit,
+      ttlMs / 4,
+    );
+    this.current = term;
+    this.store.followGapMs = OWNER_GAP_MS;
+    term.start();
+  }
+
+  /** Short enough for a takeover well before a worker's lease ends, long enough for a slow moment. */
+  private holdMs(): number {
+    return Math.round(Math.min(5, Math.max(2.5, toSeconds(this.facts.lease) / 4)) * 1000);
+  }
+}
+
+const OWNER_GAP_MS = 100;
+const FOLLOWER_GAP_MS = 250;
--- /dev/null
+++ b/src/edge/settings.ts
@@ -0,0 +1,111 @@
+import { readFileSync } from 'node:fs';
+import { z } from 'zod';
+import type { Facts } from '../core/model.js';
+import { seconds } from '../core/time.js';
+
+/** A mistake in what we were started with: told in one line, exit code 2. */
+export class SettingsError extends Error {}
+
+const amount = z.number().nonnegative();
+const address = z.string().regex(/^[^\s:]+:[0-9]{1,5}$/, 'must be HOST:PORT');
+
+const platform = z.object({
+  label: z.string().min(1),
+  area: z.string(),
+  api_addr: address,
+  internal_addr: address,
+  known: z.array(z.object({ label: z.string().min(1), area: z.string(), endpoint: address })),
+  external: z.object({ cloud: address, state: address }),
+  facts: z.object({
+    zones: z.array(z.string()),
+    teams: z.array(
+      z.object({ name: z.string().min(1), cpus: amount, cpus_max: amount, gpus: amount, gpus_max: amount }),
+    ),
+    objectives: z
+      .array(
+        z.object({
+          kind: z.string(),
+          class: z.string().optional(),
+          within_s: amount.optional(),
+          share: z.number().optional(),
+        }),
+      )
+      .default([]),
+    workers: z.object({
+      report_s: z.number().positive(),
+      lease_s: z.number().positive(),
+      gang_wait_s: amount,
+      gang_peer_s: amount,
+      cancel_s: z.number().positive(),
+    }),
+    state: z.object({
+      rps: z.number().positive(),
+      write_rps: z.number().positive(),
+      value_kb: z.number().positive(),
+      txn_ops: z.number().int().positive(),
+    }),
+    cloud: z.object({ rps: z.number().positive(), list_lag_s: amount }),
+    limits: z
+      .object({
+        core_share: z.number().positive(),
+        memory_mb: z.number().positive(),
+        max_sockets: z.number().positive(),
+      })
+      .optional(),
+    skew_ms: amount.default(0),
+  }),
+});
+
+export type Platform = z.infer<typeof platform>;
+
+export function readPlatform(path: string): Platform {
+  let text: string;
+  try {
+    text = readFileSync(path, 'utf8');
+  } catch (e) {
+    throw new SettingsError(
+      `cannot read settings ${path}: ${(e as NodeJS.ErrnoException).code ?? String(e)}`,
+    );
+  }
+  let json: unknown;
+  try {
+    json = JSON.parse(text);
+  } catch (e) {
+    throw new SettingsError(`settings ${path} are not JSON: ${e instanceof Error ? e.message : String(e)}`);
+  }
+  const r = platform.safeParse(json);
+  if (!r.success) {
+    const first = r.error.issues[0];
+    throw new SettingsError(
+      `settings ${path}: ${first?.path.join('.') ?? ''}: ${first?.message ?? 'invalid'}`,
+    );
+  }
+  return r.data;
+}
+
+export function factsOf(p: Platform): Facts {
+  const f = p.facts;
+  return {
+    zones: f.zones,
+    teams: f.teams.map((t) => ({
+      name: t.name,
+      cpus: t.cpus,
+      gpus: t.gpus,
+      cpusMax: t.cpus_max,
+      gpusMax: t.gpus_max,
+    })),
+    objectives: f.objectives.map((o) => ({
+      kind: o.kind,
+      class: o.class ?? '',
+      within: o.within_s === undefined ? null : seconds(o.within_s),
+      share: o.share ?? 1,
+    })),
+    report: seconds(f.workers.report_s),
+    lease: seconds(f.workers.lease_s),
+    gangWait: seconds(f.workers.gang_wait_s),
+    gangPeer: seconds(f.workers.gang_peer_s),
+    cancel: seconds(f.workers.cancel_s),
+    txnOps: f.state.txn_ops,
+    listLag: seconds(f.cloud.list_lag_s),
+  };
+}
--- /dev/null
+++ b/src/edge/sexpr-plus.d.ts
@@ -0,0 +1,17 @@
+declare module 'sexpr-plus' {
+  interface Place {
+    readonly offset: number;
+    readonly line: number;
+    readonly column: number;
+  }
+  interface Located {
+    readonly location: { readonly start: Place; readonly end: Place };
+  }
+  export type Node = Located &
+    (
+      | { readonly type: 'list'; readonly content: Node[] }
+      | { readonly type: 'atom'; readonly content: string }
+      | { readonly type: 'string'; readonly content: string }
+    );
+  export function parse(text: string): Node[];
+}
--- /dev/null
+++ b/src/edge/store.ts
@@ -0,0 +1,249 @@
+import { Subject, type Subscription } from 'rxjs';
+import { STORE_PATHS } from '../wire/dialect.js';
+import { ROOT } from '../wire/records.js';
+import * as schemas from '../wire/schemas.js';
+import { steady } from './clock.js';
+import { duty, pause } from './duty.js';
+import { Client } from './http.js';
+import { jittered } from './jitter.js';
+import type { Log } from './log.js';
+
+export interface Guard {
+  readonly key: string;
+  readonly stamp: number;
+}
+
+export type Write =
+  { readonly write: string; readonly value: unknown; readonly permit?: number } | { readonly delete: string };
+
+export type Committed =
+  | { readonly kind: 'ok'; readonly rev: number }
+  | { readonly kind: 'conflict'; readonly failed: readonly string[]; readonly rev: number }
+  /** Surely not carried out: too many requests, an outage, or a lost hold. */
+  | { readonly kind: 'refused'; readonly why: string }
+  | { readonly kind: 'unknown'; readonly why: string };
+
+export interface Entry {
+  readonly value: unknown;
+  readonly stamp: number;
+}
+
+export interface Change {
+  readonly key: string;
+  /** Null: the key is gone. */
+  readonly entry: Entry | null;
+}
+
+const REQUEST_MS = 1500;
+const FOLLOW_MS = 20_000;
+const BARRIER_GAP_MS = 200;
+
+/**
+ * The state service's client: a followed copy of all our keys, transactions, holds, and reads as fresh as their asker.
+ * The copy never goes back; `rev` is the revision up to which it holds every change.
+ */
+export class Store {
+  readonly copy = new Map<string, Entry>();
+  readonly changes = new Subject<Change>();
+  rev = -1;
+  /** When a request that was later answered was sent, last. */
+  answeredAt = 0n;
+  /** Least pause between two follows: each costs a request. The owner of a part follows more closely. */
+  followGapMs = 250;
+  private readonly client: Client;
+  private readonly follower: Client;
+  private readonly waiters: { rev: number; resolve: () => void }[] = [];
+  private unsent: Promise<number | null> | null = null;
+  private barrierAt = 0n;
+  private refollow: AbortController | null = null;
+
+  constructor(
+    addr: string,
+    private readonly log: Log,
+  ) {
+    this.client = new Client(addr, 6);
+    this.follower = new Client(addr, 2);
+  }
+
+  start(): Subscription {
+    return duty('follow', this.log, (signal) => this.follow(signal));
+  }
+
+  get loaded(): boolean {
+    return this.rev >= 0;
+  }
+
+  async commit(guards: readonly Guard[], writes: readonly Write[], limitMs = REQUEST_MS): Promise<Committed> {
+    const sent = steady();
+    const o = await this.client.request('POST', STORE_PATHS.commit, { guards, writes }, limitMs);
+    if (o.kind === 'unsent') return { kind: 'refused', why: o.why };
+    if (o.kind === 'unknown') return { kind: 'unknown', why: o.why };
+    if (o.status === 200) {
+      const r = schemas.revision.safeParse(o.body);
+      if (!r.success) return { kind: 'unknown', why: 'answer without a revision' };
+      this.heard(sent);
+      return { kind: 'ok', rev: r.data.ledgerRev };
+    }
+    if (o.status === 409) {
+      const r = schemas.conflict.safeParse(o.body);
+      if (!r.success) return { kind: 'unknown', why: 'conflict without keys' };
+      this.heard(sent);
+      return { kind: 'conflict', failed: r.data.failed, rev: r.data.ledgerRev };
+    }
+    if (o.status === 429 || o.status === 503 || o.status === 400)
+      return { kind: 'refused', why: `status ${o.status}` };
+    return { kind: 'unknown', why: `status ${o.status}` };
+  }
+
+  /** A new hold, or null if none could be had. */
+  async hold(ttlMs: number): Promise<number | null> {
+    const o = await this.client.request('POST', STORE_PATHS.holds, { ttlMs }, REQUEST_MS);
+    if (o.kind !== 'answer' || o.status !== 200) return null;
+    const r = schemas.permit.safeParse(o.body);
+    return r.success ? r.data.permit : null;
+  }
+
+  async touch(permit: number): Promise<'ok' | 'ended' | 'unknown'> {
+    const o = await this.client.request(
+      'POST',
+      `${STORE_PATHS.holds}/${permit}/${STORE_PATHS.renew}`,
+      undefined,
+      REQUEST_MS,
+    );
+    if (o.kind !== 'answer') return 'unknown';
+    return o.status === 200 ? 'ok' : o.status === 404 ? 'ended' : 'unknown';
+  }
+
+  async drop(permit: number): Promise<void> {
+    await this.client.request('DELETE', `${STORE_PATHS.holds}/${permit}`, undefined, REQUEST_MS);
+  }
+
+  /** A read that is as new as this call: true once the copy holds every change committed before it. */
+  async fresh(limitMs: number): Promise<boolean> {
+    const rev = await this.sharedBarrier();
+    if (rev === null) return false;
+    return this.reached(rev, limitMs);
+  }
+
+  /** Waits until the copy has come to a revision. */
+  reached(rev: number, limitMs: number): Promise<boolean> {
+    if (this.rev >= rev) return Promise.resolve(true);
+    return new Promise((resolve) => {
+      const timer = setTimeout(() => {
+        const at = this.waiters.indexOf(waiter);
+        if (at >= 0) this.waiters.splice(at, 1);
+        // The follow has said nothing of a change that exists: it may hang on a dead connection.
+        this.refollow?.abort();
+        resolve(false);
+      }, limitMs);
+      const waiter = {
+        rev,
+        resolve: (): void => {
+          clearTimeout(timer);
+          resolve(true);
+        },
+      };
+      this.waiters.push(waiter);
+    });
+  }
+
+  /** Askers that come before the next compare is sent share it: it is sent after they came. */
+  private sharedBarrier(): Promise<number | null> {
+    this.unsent ??= (async () => {
+      const gap = BARRIER_GAP_MS - Number(steady() - this.barrierAt) / 1e6;
+      if (gap > 0) await new Promise((r) => setTimeout(r, gap));
+      this.unsent = null;
+      this.barrierAt = steady();
+      const r = await this.commit([], [], 1000);
+      return r.kind === 'ok' ? r.rev : null;
+    })();
+    return this.unsent;
+  }
+
+  private heard(sent: bigint): void {
+    if (sent > this.answeredAt) this.answeredAt = sent;
+  }
+
+  private async follow(signal: AbortSignal): Promise<void> {
+    await this.load(signal);
+    let lastAt = 0n;
+    while (!signal.aborted) {
+      const gap = this.followGapMs - Number(steady() - lastAt) / 1e6;
+      if (gap > 0) await pause(gap, signal);
+      lastAt = steady();
+      const stop = new AbortController();
+      this.refollow = stop;
+      const path = `${STORE_PATHS.follow}?under=${ROOT}&from=${this.rev}&holdMs=${FOLLOW_MS}`;
+      const o = await this.follower.request(
+        'GET',
+        path,
+        undefined,
+        FOLLOW_MS + 15_000,
+        AbortSignal.any([signal, stop.signal]),
+      );
+      this.refollow = null;
+      if (o.kind !== 'answer' || o.status !== 200) {
+        if (o.kind === 'answer' && o.status === 410) await this.load(signal);
+        else await pause(jittered(300), signal);
+        continue;
+      }
+      const r = schemas.news.safeParse(o.body);
+      if (!r.success) throw new Error('the state service sent news that cannot be read');
+      for (const n of r.data.news) {
+        const key = n.write ?? n.delete;
+        if (key !== undefined) this.apply(key, n.write === undefined ? null : n.value, n.stamp);
+      }
+      this.advance(r.data.ledgerRev);
+    }
+  }
+
+  private async load(signal: AbortSignal): Promise<void> {
+    let from: string | null = null;
+    let first: number | null = null;
+    const seen = new Set<string>();
+    for (;;) {
+      if (signal.aborted) return;
+      const query = `${STORE_PATHS.keys}?under=${ROOT}&page=500${from === null ? '' : `&from=${from}`}`;
+      const o = await this.client.request('GET', query, undefined, 3000);
+      if (o.kind !== 'answer' || o.status !== 200) {
+        await pause(jittered(450), signal);
+        continue;
+      }
+      const p = schemas.page.parse(o.body);
+      // Pages are read one after the other: the copy is whole only once the news since the first is applied.
+      first ??= p.ledgerRev;
+      for (const i of p.items) {
+        seen.add(i.key);
+        this.apply(i.key, i.value, i.stamp);
+        from = i.key;
+      }
+      if (!p.hasNext) break;
+    }
+    for (const key of [...this.copy.keys()]) if (!seen.has(key)) this.remove(key);
+    this.advance(first);
+  }
+
+  private apply(key: string, value: unknown, stamp: number): void {
+    const known = this.copy.get(key);
+    if (known !== undefined && known.stamp >= stamp) return;
+    if (value === null || value === undefined) return this.remove(key);
+    const entry = { value, stamp };
+    this.copy.set(key, entry);
+    this.changes.next({ key, entry });
+  }
+
+  private remove(key: string): void {
+    if (this.copy.delete(key)) this.changes.next({ key, entry: null });
+  }
+
+  private advance(rev: number): void {
+    if (rev > this.rev) this.rev = rev;
+    for (let n = this.waiters.length - 1; n >= 0; n--) {
+      const w = this.waiters[n];
+      if (w !== undefined && w.rev <= this.rev) {
+        this.waiters.splice(n, 1);
+        w.resolve();
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/edge/term.ts
@@ -0,0 +1,330 @@
+import { Subscription, interval } from 'rxjs';
+import { Owner, type Event } from '../core/owner.js';
+import type { Facts, Knobs, Report } from '../core/model.js';
+import { mayAnswer, othersQuietFrom } from '../core/parts.js';
+import type { Transaction } from '../core/outbox.js';
+import type { Effect, Order, RentOrder } from '../core/world.js';
+import {
+  chunkKey,
+  jobKey,
+  parseKey,
+  partKey,
+  readChunk,
+  readJob,
+  writeChunk,
+  writeJob,
+  type PartRecord,
+} from '../wire/records.js';
+import { now, steady } from './clock.js';
+import type { Cloud } from './cloud.js';
+import { Allowance, Wake, duty, messageOf, pause } from './duty.js';
+import { jittered } from './jitter.js';
+import type { Log } from './log.js';
+import type { Change, Guard, Store, Write } from './store.js';
+import { Workers } from './workers.js';
+
+export interface TermParts {
+  readonly part: string;
+  readonly record: PartRecord;
+  readonly facts: Facts;
+  readonly knobs: Knobs;
+  readonly store: Store;
+  readonly cloud: Cloud;
+  readonly log: Log;
+  readonly writeRps: number;
+  readonly onEnd: (why: string) => void;
+}
+
+const TICK_MS = 250;
+const HEARTBEAT_MS = 1000;
+
+/**
+ * One term as the owner of a part: the core with the sockets and timers round it. All of its routines hang on one
+ * subscription, which ends with the term.
+ */
+export class Term {
+  private readonly core: Owner;
+  private readonly routines = new Subscription();
+  private readonly workers: Workers;
+  private readonly commitWake = new Wake();
+  private readonly budget: Allowance;
+  private rentals = 0;
+  private raise: string | null = null;
+  private over = false;
+  private readonly stop = new AbortController();
+
+  constructor(
+    private readonly p: TermParts,
+    token: number,
+    private readonly permit: number,
+    private readonly touchMs: number,
+  ) {
+    const t = now();
+    this.core = new Owner(p.facts, p.knobs, {
+      token,
+      began: t.steady,
+      othersQuiet: othersQuietFrom(p.facts, t.steady),
+    });
+    this.budget = new Allowance(p.writeRps * 0.6, Math.max(p.facts.txnOps, p.writeRps * 0.5));
+    this.workers = new Workers(
+      () => this.core.world.token,
+      (r) =>
+        this.event({
+          kind: 'direct',
+          machine: r.job.machine,
+          session: r.job.session,
+          token: r.token,
+          orders: r.job.orders,
+          outcome: r.outcome,
+          report: r.report,
+        }),
+    );
+  }
+
+  get token(): number {
+    return this.core.world.token;
+  }
+
+  start(): void {
+    const { log, store } = this.p;
+    this.load();
+    this.routines.add(this.workers.start());
+    this.routines.add(() => this.stop.abort());
+    this.routines.add(store.changes.subscribe((c) => this.onChange(c)));
+    this.routines.add(interval(TICK_MS).subscribe(() => this.event({ kind: 'tick' })));
+    this.routines.add(duty('hold', log, (s) => this.keepHold(s)));
+    this.routines.add(duty('heartbeat', log, (s) => this.heartbeat(s)));
+    this.routines.add(duty('commits', log, (s) => this.commits(s)));
+    this.routines.add(duty('machine list', log, (s) => this.pollList(s)));
+    this.routines.add(duty('machine types', log, (s) => this.pollTypes(s)));
+  }
+
+  end(why: string): void {
+    if (this.over) return;
+    this.over = true;
+    this.p.log.info({ token: this.token, why }, 'term over');
+    this.routines.unsubscribe();
+    this.p.onEnd(why);
+  }
+
+  /** The answer to a worker's report, or null if we may no longer answer. */
+  report(r: Report): { token: number; orders: Order[] } | null {
+    if (this.over || !mayAnswer(this.p.facts, this.core.world.contact, steady())) return null;
+    this.event({ kind: 'report', report: r });
+    if (this.over) return null;
+    return { token: this.token, orders: this.core.answer(r.machine, now()) };
+  }
+
+  private load(): void {
+    const chunks: { job: string; index: number; value: unknown; stamp: number }[] = [];
+    for (const [key, e] of this.p.store.copy) {
+      const k = parseKey(key);
+      if (k.kind === 'job') this.event({ kind: 'job', id: k.id, record: readJob(e.value), stamp: e.stamp });
+      if (k.kind === 'chunk') chunks.push({ job: k.job, index: k.index, value: e.value, stamp: e.stamp });
+    }
+    for (const c of chunks)
+      this.event({ kind: 'chunk', job: c.job, index: c.index, image: readChunk(c.value), stamp: c.stamp });
+    this.p.log.info(
+      { token: this.token, jobs: this.core.world.jobs.size, chunks: chunks.length },
+      'term begins',
+    );
+  }
+
+  private event(e: Event): void {
+    if (this.over) return;
+    for (const effect of this.core.handle(e, now())) this.carryOut(effect);
+    if (this.core.world.dirty.size > 0 || this.core.world.dirtyJobs.size > 0) this.commitWake.wake();
+  }
+
+  private carryOut(e: Effect): void {
+    const { log } = this.p;
+    switch (e.kind) {
+      case 'note':
+        log[e.level](e.about, e.text);
+        break;
+      case 'direct': {
+        const endpoint = this.core.world.machines.get(e.machine)?.endpoint ?? '';
+        const job = { machine: e.machine, endpoint, session: e.session, orders: e.orders };
+        if (endpoint !== '') this.workers.push(job);
+        break;
+      }
+      case 'rent':
+        this.rent(e.order);
+        break;
+      case 'return':
+        this.giveBack(e.machines, e.why);
+        break;
+      case 'raise':
+        this.raise = e.why;
+        this.commitWake.wake();
+        break;
+      case 'deposed':
+        this.end(`a worker has seen the higher token ${e.token}`);
+        break;
+    }
+  }
+
+  private rent(order: RentOrder): void {
+    // The first token of a term is committed and belongs to this process alone: names made of it are never reused.
+    const name = `r-${this.core.world.firstToken}-${++this.rentals}`;
+    this.event({ kind: 'renting', name, order });
+    void this.p.cloud.rent(name, order, this.stop.signal).then((machines) => {
+      this.p.log.info({ name, wanted: order.count, got: machines?.length ?? 0 }, 'rental answered');
+      this.event({ kind: 'rented', name, machines });
+    });
+  }
+
+  private giveBack(machines: readonly string[], why: string): void {
+    this.p.log.info({ machines, why }, 'returning machines');
+    void this.p.cloud
+      .remove(machines, this.stop.signal)
+      .then((ok) => this.event({ kind: 'returned', machines, ok }));
+  }
+
+  private onChange(c: Change): void {
+    const k = parseKey(c.key);
+    if (k.kind === 'job' && c.entry !== null)
+      this.event({ kind: 'job', id: k.id, record: readJob(c.entry.value), stamp: c.entry.stamp });
+    if (k.kind === 'part' && k.part === this.p.part) {
+      const mine =
+        c.entry !== null && (c.entry.value as PartRecord).incarnation === this.p.record.incarnation;
+      // Our own key may be followed late, but a key that is gone or another's is the end of the term.
+      if (!mine && (c.entry === null || c.entry.stamp > this.core.world.firstToken))
+        this.end('the part has another owner');
+    }
+  }
+
+  private async keepHold(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      const r = await this.p.store.touch(this.permit);
+      if (signal.aborted) return;
+      if (r === 'ended') return this.end('the hold ended');
+      await pause(r === 'ok' ? this.touchMs : jittered(this.touchMs / 2), signal);
+    }
+  }
+
+  /** A compare of our own stamp: proves that we are the owner, and as of when. */
+  private async heartbeat(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      const sent = steady();
+      const r = await this.p.store.commit([this.guard()], [], 1000);
+      if (signal.aborted) return;
+      if (r.kind === 'ok' && (await this.p.store.reached(r.rev, 1000)))
+        this.event({ kind: 'contact', at: sent });
+      if (r.kind === 'conflict' && !(await this.stillOwner())) return this.end('the part has changed hands');
+      await pause(HEARTBEAT_MS, signal);
+    }
+  }
+
+  /** After a conflict on our own key: our own raise may just have been carried out, or the term is over. */
+  private async stillOwner(): Promise<boolean> {
+    if (!(await this.p.store.fresh(2000))) return true;
+    const e = this.p.store.copy.get(partKey(this.p.part));
+    if (e === undefined || (e.value as PartRecord).incarnation !== this.p.record.incarnation) return false;
+    if (e.stamp > this.token) this.event({ kind: 'raised', token: e.stamp });
+    return true;
+  }
+
+  private guard(): Guard {
+    return { key: partKey(this.p.part), stamp: this.token };
+  }
+
+  private async commits(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      await this.commitWake.wait(500, signal);
+      if (signal.aborted) return;
+      if (this.raise !== null) await this.raiseToken(signal);
+      const t = this.core.nextTransaction();
+      if (t === null) continue;
+      const wait = this.budget.take(t.chunks.length + t.done.length);
+      if (wait > 0) await pause(wait, signal);
+      if (signal.aborted) return;
+      await this.commit(t, signal);
+      this.commitWake.wake();
+    }
+  }
+
+  private async raiseToken(signal: AbortSignal): Promise<void> {
+    this.p.log.info({ why: this.raise }, 'raising the token');
+    this.raise = null;
+    const r = await this.p.store.commit(
+      [this.guard()],
+      [{ write: partKey(this.p.part), value: this.p.record, permit: this.permit }],
+    );
+    if (signal.aborted) return;
+    if (r.kind === 'ok') this.event({ kind: 'raised', token: r.rev });
+    else if (r.kind === 'conflict' && !(await this.stillOwner())) this.end('the part has changed hands');
+  }
+
+  /** Sends a transaction until its fate is known. Its guards make repeats harmless. */
+  private async commit(t: Transaction, signal: AbortSignal): Promise<void> {
+    const { store } = this.p;
+    const guards: Guard[] = [{ key: partKey(this.p.part), stamp: t.token }];
+    const writes: Write[] = [];
+    for (const [id, stamp] of t.jobs) guards.push({ key: jobKey(id), stamp });
+    for (const c of t.chunks) {
+      guards.push({ key: chunkKey(c.job, c.index), stamp: c.stamp });
+      writes.push({ write: chunkKey(c.job, c.index), value: writeChunk(c.image) });
+    }
+    for (const id of t.done) {
+      const job = this.core.world.jobs.get(id);
+      if (job !== undefined)
+        writes.push({
+          write: jobKey(id),
+          value: writeJob({ spec: job.spec, submitted: job.submitted, standing: 'done' }),
+        });
+    }
+    let doubtful = false;
+    for (let n = 0; !signal.aborted; n++) {
+      const r = await store.commit(guards, writes);
+      if (signal.aborted) return;
+      if (r.kind === 'ok') return this.event({ kind: 'settled', transaction: t, stamp: r.rev });
+      if (r.kind === 'conflict') return this.onConflict(t, r.failed, doubtful);
+      if (r.kind === 'unknown') doubtful = true;
+      this.p.log.debug({ why: r.why, n }, 'transaction not settled yet');
+      await pause(jittered(Math.min(100 * 2 ** n, 1500)), signal);
+    }
+  }
+
+  private async onConflict(t: Transaction, failed: readonly string[], doubtful: boolean): Promise<void> {
+    const { store } = this.p;
+    if (!(await this.stillOwner())) return this.end('the part has changed hands');
+    const first = t.chunks[0];
+    const own = t.chunks.some((c) => failed.includes(chunkKey(c.job, c.index)));
+    const doneOnly = t.chunks.length === 0;
+    // Chunks have one writer: a chunk that moved on was moved by an earlier copy of this very transaction.
+    if (doubtful && own && first !== undefined) {
+      const e = store.copy.get(chunkKey(first.job, first.index));
+      if (e !== undefined) return this.event({ kind: 'settled', transaction: t, stamp: e.stamp });
+    }
+    if (doubtful && doneOnly) {
+      const all = t.done.every((id) => {
+        const e = store.copy.get(jobKey(id));
+        return e !== undefined && readJob(e.value).standing === 'done';
+      });
+      if (all) return this.event({ kind: 'settled', transaction: t, stamp: store.rev });
+    }
+    this.p.log.info({ failed }, 'transaction refused by its guards; planned anew');
+  }
+
+  private async pollList(signal: AbortSignal): Promise<void> {
+    const every = Math.max(2000, Number(this.p.facts.listLag) / 1e6);
+    while (!signal.aborted) {
+      const machines = await this.p.cloud.list(signal);
+      if (signal.aborted) return;
+      if (machines !== null) this.event({ kind: 'list', machines });
+      await pause(machines === null ? jittered(1000) : every, signal);
+    }
+  }
+
+  private async pollTypes(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      const types = await this.p.cloud.types(signal);
+      if (signal.aborted) return;
+      if (types !== null) this.event({ kind: 'types', types });
+      await pause(types === null ? jittered(1000) : 60_000, signal);
+    }
+  }
+}
+
+export const describe = (e: unknown): string => messageOf(e);
--- /dev/null
+++ b/src/main.ts
@@ -0,0 +1,48 @@
+import { Command, CommanderError } from 'commander';
+import { version } from '../package.json';
+import { readKnobs } from './edge/knobs.js';
+import { makeLog } from './edge/log.js';
+import { startService } from './edge/service.js';
+import { SettingsError, readPlatform } from './edge/settings.js';
+
+interface Options {
+  config: string;
+  settings?: string;
+  check?: boolean;
+}
+
+const program = new Command('pumiceroad')
+  .description('One controller of a cluster scheduler. Runs until it is killed.')
+  .version(version)
+  .requiredOption('--config <file>', 'the settings file that the platform hands over (JSON)')
+  .option('--settings <file>', "operators' settings (S-expressions); see docs/settings.md")
+  .option('--check', 'read and check the settings, then end')
+  .exitOverride()
+  .action((o: Options) => {
+    const platform = readPlatform(o.config);
+    const knobs = readKnobs(o.settings);
+    if (o.check === true) {
+      process.stdout.write('settings are valid\n');
+      return;
+    }
+    const log = makeLog(platform.label);
+    const all = startService(platform, knobs, log, (why) => {
+      process.stderr.write(`pumiceroad: ${why}\n`);
+      process.exit(1);
+    });
+    for (const s of ['SIGINT', 'SIGTERM'] as const)
+      process.once(s, () => {
+        all.unsubscribe();
+        process.exit(0);
+      });
+  });
+
+try {
+  program.parse();
+} catch (e) {
+  if (e instanceof CommanderError) process.exitCode = e.exitCode === 0 ? 0 : 2;
+  else if (e instanceof SettingsError) {
+    process.stderr.write(`pumiceroad: ${e.message}\n`);
+    process.exitCode = 2;
+  } else throw e;
+}
--- /dev/null
+++ b/src/wire/dialect.ts
@@ -0,0 +1,204 @@
+import type { z } from 'zod';
+import type { Listed, MachineType, Priority, Kind, Report, SeenTask, Spec } from '../core/model.js';
+import { seconds, toSeconds } from '../core/time.js';
+import type { Order } from '../core/world.js';
+import * as schemas from './schemas.js';
+
+/** The one place that knows the interfaces' words (`docket`, `rig`, `baton`, …) for the names used inside. */
+export const API_PATHS = { jobs: '/work', cancel: 'withdraw', health: '/healthz', report: '/hello' } as const;
+export const STORE_PATHS = {
+  keys: '/store',
+  commit: '/commit',
+  holds: '/holds',
+  renew: 'touch',
+  follow: '/follow',
+} as const;
+export const CLOUD_PATHS = { types: '/flavors', machines: '/machines', remove: '/machines/return' } as const;
+export const WORKER_PATHS = { commands: '/commands', status: '/status' } as const;
+
+const KINDS: Record<z.infer<typeof schemas.submission>['shape'], Kind> = {
+  batch: 'array',
+  ensemble: 'gang',
+  service: 'service',
+};
+const PRIORITIES: Record<z.infer<typeof schemas.submission>['precedence'], Priority> = {
+  prod: 'production',
+  high: 'high',
+  normal: 'normal',
+  idle: 'low',
+};
+
+export type Parsed<T> =
+  { readonly ok: true; readonly value: T } | { readonly ok: false; readonly why: string };
+
+const failure = (e: z.ZodError): { ok: false; why: string } => {
+  const first = e.issues[0];
+  return {
+    ok: false,
+    why: first === undefined ? 'invalid' : `${first.path.join('.') || 'body'}: ${first.message}`,
+  };
+};
+
+/** The id of a submission whose other fields may be wrong: a known job gets its state whatever else is in it. */
+export function jobIdOf(body: unknown): string | null {
+  if (body === null || typeof body !== 'object') return null;
+  const ref = (body as Record<string, unknown>)['ref'];
+  return typeof ref === 'string' && schemas.JOB_ID.test(ref) ? ref : null;
+}
+
+export const isJobId = (s: string): boolean => schemas.JOB_ID.test(s);
+
+export function parseSubmission(body: unknown): Parsed<Spec> {
+  const r = schemas.submission.safeParse(body);
+  if (!r.success) return failure(r.error);
+  const b = r.data;
+  return {
+    ok: true,
+    value: {
+      id: b.ref,
+      class: b.docket,
+      team: b.desk,
+      kind: KINDS[b.shape],
+      priority: PRIORITIES[b.precedence],
+      tasks: b.tickets,
+      cpus: b.vcpus,
+      gpus: b.gpus,
+      memory: b.memGb,
+      types: b.builds,
+      zone: b.hall,
+      oneZone: b.oneZone,
+      spread: b.spread,
+      spot: b.loaners,
+      image: b.bundle,
+      imageGb: b.pullGb,
+      estimate: seconds(b.expectedS),
+      checkpoint: seconds(b.snapshotEveryS),
+      save: seconds(b.snapshotS),
+      due: b.dueS === null ? null : seconds(b.dueS),
+    },
+  };
+}
+
+const PHASES = {
+  pulling: 'fetching',
+  gathering: 'waiting',
+  running: 'running',
+  saving: 'saving',
+  exited: 'exited',
+} as const;
+
+export function parseReport(body: unknown): Parsed<Report> {
+  const r = schemas.hello.safeParse(body);
+  if (!r.success) return failure(r.error);
+  const b = r.data;
+  return {
+    ok: true,
+    value: {
+      machine: b.rig,
+      endpoint: b.endpoint,
+      type: b.build,
+      zone: b.hall,
+      spot: b.loaners,
+      session: b.shift,
+      seq: b.tick,
+      token: b.baton,
+      notice: b.recallS === null ? null : seconds(b.recallS),
+      tasks: b.tickets.map((t): SeenTask => {
+        const cut = t.ticket.lastIndexOf('/');
+        return {
+          job: t.ticket.slice(0, cut),
+          task: Number(t.ticket.slice(cut + 1)),
+          attempt: t.try,
+          state: PHASES[t.standing],
+          why: t.cause,
+          saved: t.saved ?? false,
+        };
+      }),
+    },
+  };
+}
+
+const VERBS = { start: 'run', stop: 'halt', forget: 'forget' } as const;
+
+export function orders(token: number, list: readonly Order[], session?: number): unknown {
+  return {
+    baton: token,
+    shift: session,
+    orders: list.map((o) => ({
+      verb: VERBS[o.op],
+      ticket: `${o.job}/${o.task}`,
+      try: o.attempt,
+      windDownS: o.op === 'stop' ? (o.grace ?? 0) : undefined,
+    })),
+  };
+}
+
+export const redirect = (label: string | null): unknown => (label === null ? {} : { foreman: label });
+
+export type UserStanding = 'pending' | 'running' | 'done' | 'cancelled';
+
+export function jobAnswer(
+  id: string,
+  standing: UserStanding,
+  counts?: { done: number; running: number },
+): unknown {
+  return { ref: id, standing, ...counts };
+}
+
+export function parseTypes(body: unknown): Parsed<MachineType[]> {
+  const r = schemas.flavors.safeParse(body);
+  if (!r.success) return failure(r.error);
+  return {
+    ok: true,
+    value: r.data.builds.map((b) => ({
+      name: b.label,
+      cpus: b.vcpus,
+      gpus: b.gpus,
+      memory: b.memGb,
+      cacheGb: b.localGb,
+      fetchGbPerS: b.fetchGbPerS,
+      price: b.rate,
+      spotPrice: b.spotPrice,
+      boot: seconds(b.bootS),
+      zones: b.halls,
+    })),
+  };
+}
+
+export function parseList(body: unknown): Parsed<{ machines: Listed[]; more: boolean }> {
+  const r = schemas.machineList.safeParse(body);
+  if (!r.success) return failure(r.error);
+  return {
+    ok: true,
+    value: {
+      machines: r.data.rigs.map((m) => ({
+        name: m.ref,
+        endpoint: m.endpoint,
+        type: m.build,
+        zone: m.hall,
+        spot: m.loaners,
+        state: m.standing,
+        age: seconds(m.ageS),
+      })),
+      more: r.data.hasNext,
+    },
+  };
+}
+
+export const rentBody = (
+  name: string,
+  o: { type: string; zone: string; spot: boolean; count: number },
+): unknown => ({
+  hire: name,
+  build: o.type,
+  hall: o.zone,
+  loaners: o.spot,
+  number: o.count,
+});
+export const returnBody = (names: readonly string[]): unknown => ({ rigs: names });
+export const listQuery = (after: string | null, limit: number): string =>
+  `${CLOUD_PATHS.machines}?${after === null ? '' : `from=${encodeURIComponent(after)}&`}page=${limit}`;
+
+/** Spans go into records as seconds, times of day as ISO text. */
+export const spanOut = toSeconds;
+export const spanIn = seconds;
--- /dev/null
+++ b/src/wire/schemas.ts
@@ -0,0 +1,104 @@
+import { z } from 'zod';
+
+/** Shapes of what comes in, in the words of the interfaces. Unknown fields are dropped. */
+const amount = z.number().nonnegative();
+const count = z.union([z.number().int().nonnegative(), z.bigint().nonnegative().transform(Number)]);
+const orNull = <T extends z.ZodType>(t: T) => t.nullish().transform((v) => v ?? null);
+
+export const JOB_ID = /^req-[0-9]{1,18}$/;
+
+export const submission = z.object({
+  ref: z.string().regex(JOB_ID),
+  docket: z.string().min(1).max(200),
+  desk: z.string().min(1).max(200),
+  shape: z.enum(['batch', 'ensemble', 'service']),
+  precedence: z.enum(['prod', 'high', 'normal', 'idle']),
+  tickets: z.number().int().min(1).max(100_000),
+  vcpus: amount,
+  gpus: amount,
+  memGb: amount,
+  bundle: z.string().min(1).max(200),
+  pullGb: amount,
+  builds: orNull(z.array(z.string().min(1).max(200)).min(1).max(64)),
+  hall: orNull(z.string().min(1).max(200)),
+  oneZone: z.boolean(),
+  spread: z.boolean(),
+  loaners: z.boolean(),
+  expectedS: amount,
+  snapshotEveryS: amount,
+  snapshotS: amount,
+  dueS: orNull(amount),
+});
+
+const ticketName = z.string().regex(/^.{1,200}\/[0-9]{1,9}$/);
+
+export const hello = z.object({
+  rig: z.string().min(1),
+  endpoint: z.string().min(1),
+  build: z.string(),
+  hall: z.string(),
+  loaners: z.boolean(),
+  shift: count,
+  tick: count,
+  baton: count,
+  recallS: orNull(amount),
+  tickets: z.array(
+    z.object({
+      ticket: ticketName,
+      try: count,
+      standing: z.enum(['pulling', 'gathering', 'running', 'saving', 'exited']),
+      cause: orNull(z.string()),
+      saved: orNull(z.boolean()),
+    }),
+  ),
+});
+
+export const flavors = z.object({
+  builds: z.array(
+    z.object({
+      label: z.string(),
+      vcpus: amount,
+      gpus: amount,
+      memGb: amount,
+      localGb: amount,
+      fetchGbPerS: amount,
+      rate: amount,
+      spotPrice: amount,
+      bootS: amount,
+      halls: z.array(z.string()),
+    }),
+  ),
+});
+
+export const machineList = z.object({
+  rigs: z.array(
+    z.object({
+      ref: z.string(),
+      endpoint: z.string(),
+      build: z.string(),
+      hall: z.string(),
+      loaners: z.boolean(),
+      standing: z.enum(['booting', 'running', 'failed']),
+      ageS: amount,
+    }),
+  ),
+  hasNext: z.boolean(),
+});
+
+export const rented = z.object({ rigs: z.array(z.string()) });
+export const revision = z.object({ ledgerRev: count });
+export const permit = z.object({ permit: count });
+export const conflict = z.object({ failed: z.array(z.string()), ledgerRev: count });
+export const item = z.object({ key: z.string(), value: z.unknown(), stamp: count });
+export const page = z.object({ items: z.array(item), hasNext: z.boolean(), ledgerRev: count });
+export const news = z.object({
+  ledgerRev: count,
+  news: z.array(
+    z.object({
+      write: z.string().optional(),
+      delete: z.string().optional(),
+      value: z.unknown().optional(),
+      stamp: count,
+    }),
+  ),
+});
