Preemption follows one strict order, and promised room is kept

Now: production, then inside the guarantee, then borrowed, by priority within; room is booked in the same pass.

--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -104,7 +104,7 @@
       if (!zoneAllowed(job, zone, taken)) continue;
       for (const spot of job.spec.spot ? [true, false] : [false]) {
         const refused = w.refused.get(slotKey({ type: type.name, zone, spot }));
-        if (refused !== undefined && now.steady - refused < seconds(15)) continue;
+        if (refused !== undefined && now.steady - refused < seconds(20)) continue;
         const have = orders.get(slotKey({ type: type.name, zone, spot }))?.count ?? 0;
         options.push({ type, zone, spot, price: spot ? type.spotPrice : type.price, have });
       }
--- a/src/core/gangs.ts
+++ b/src/core/gangs.ts
@@ -1,6 +1,7 @@
 import { chunkOf, place } from './jobs.js';
 import type { Intent, Job, Machine } from './model.js';
 import { fits, machineAllowed, pick, type Candidate } from './placement.js';
+import { add } from './preempt.js';
 import type { Steady } from './time.js';
 import type { World } from './world.js';
 
@@ -45,7 +46,7 @@
 function planIn(w: World, job: Job, candidates: readonly Candidate[]): Machine[] | null {
   const spec = job.spec;
   // Free room is booked on copies: nothing is taken unless the whole gang fits.
-  const trial = candidates.map((c) => ({ ...c, r: { ...c.r } }));
+  const trial = candidates.map((c) => ({ ...c, r: { ...c.r }, room: { ...c.room } }));
   const inZone = new Map<string, number>();
   const plan: Machine[] = [];
   for (let t = 0; t < spec.tasks; t++) {
@@ -56,9 +57,8 @@
     );
     const chosen = pick(spec, open, w.knobs) as (typeof trial)[number] | null;
     if (chosen === null) return null;
-    chosen.r.cpus -= spec.cpus;
-    chosen.r.gpus -= spec.gpus;
-    chosen.r.memory -= spec.memory;
+    add(chosen.r, job, -1);
+    add(chosen.room, job, -1);
     const at = trial.indexOf(chosen);
     trial[at] = { ...chosen, zeta: chosen.zeta + 1 };
     inZone.set(chosen.machine.zone, (inZone.get(chosen.machine.zone) ?? 0) + 1);
--- a/src/core/jobs.ts
+++ b/src/core/jobs.ts
@@ -69,6 +69,7 @@
       free: new Set(),
       arrived: now.steady,
       waitReason: 'new',
+      inside: false,
     };
     w.jobs.set(id, job);
     if (record.standing === 'open') {
@@ -116,8 +117,6 @@
       stopping: null,
       // It may have been sent by an earlier owner: only proof ends it.
       sentAt: 0,
-      loose: null,
-      inFlight: 0,
       runningSince: null,
     };
     chunk.intents.set(i.task, intent);
@@ -181,8 +180,6 @@
     phase: 'placed',
     stopping: null,
     sentAt: null,
-    loose: null,
-    inFlight: 0,
     runningSince: null,
   };
   chunk.intents.set(task, intent);
--- a/src/core/model.ts
+++ b/src/core/model.ts
@@ -55,10 +55,6 @@
   stopping: { readonly grace: number; readonly why: string; readonly since: Steady } | null;
   /** Sequence number of the report whose response last carried the `run`; null if none did. */
   sentAt: number | null;
-  /** Token of a direct `run` whose outcome is unknown: a copy of it may still arrive. Null: none. */
-  loose: number | null;
-  /** Direct commands under way now. */
-  inFlight: number;
   runningSince: Steady | null;
 }
 
@@ -96,6 +92,8 @@
   readonly free: Set<number>;
   arrived: Steady;
   waitReason: string;
+  /** Inside its team's guarantee, together with the team's earlier unfinished jobs. */
+  inside: boolean;
 }
 
 export interface MachineType {
@@ -165,7 +163,6 @@
   readonly intents: Map<string, Intent>;
   /** Tasks last reported and not exited, by key, with their attempt. */
   seen: Map<string, SeenTask>;
-  /** Halts to repeat for reported tasks that have no intent. */
   readonly images: Map<string, { gb: number; used: Steady }>;
   faults: Map<string, Steady>;
   setAside: boolean;
--- a/src/core/owner.ts
+++ b/src/core/owner.ts
@@ -16,7 +16,6 @@
 import { nextTransaction, settled, type Transaction } from './outbox.js';
 import { mayStart } from './parts.js';
 import { pass } from './pass.js';
-import { preempt } from './preempt.js';
 import { seconds, type Now, type Steady } from './time.js';
 import { newWorld, type Effect, type Order, type RentOrder, type Term, type World } from './world.js';
 
@@ -55,7 +54,6 @@
   readonly world: World;
   private fencedAt: Steady = 0n;
   private fleetAt: Steady = 0n;
-  private preemptAt: Steady = 0n;
 
   constructor(facts: Facts, knobs: Knobs, term: Term) {
     this.world = newWorld(facts, knobs, term);
@@ -129,12 +127,7 @@
 
   private place(now: Now): void {
     const w = this.world;
-    const blocked = pass(w, now);
-    if (blocked.length === 0) return;
-    if (now.steady - this.preemptAt > seconds(0.25)) {
-      this.preemptAt = now.steady;
-      preempt(w, blocked, now);
-    }
+    pass(w, now);
   }
 
   private onTick(now: Now): void {
--- a/src/core/pass.ts
+++ b/src/core/pass.ts
@@ -1,8 +1,9 @@
 import { placeGang } from './gangs.js';
 import { chunkOf, place, zonesTaken } from './jobs.js';
 import { freeOn, usable } from './machines.js';
-import { rank, type Job } from './model.js';
+import type { Job } from './model.js';
 import { fits, machineAllowed, pick, zoneAllowed, type Candidate } from './placement.js';
+import { add, level, makeRoom, markGuarantees } from './preempt.js';
 import { seconds, toSeconds, wallSeconds, type Now } from './time.js';
 import { note, type World } from './world.js';
 
@@ -27,7 +28,7 @@
 
 /** Waiting jobs in the order in which they are placed: priority, then guarantee, then due time. */
 export function queue(w: World, now: Now): Job[] {
-  const rows: { job: Job; rank: number; inside: number; by: number }[] = [];
+  const rows: { job: Job; level: number; by: number }[] = [];
   for (const id of w.waiting) {
     const job = w.jobs.get(id);
     if (job === undefined || job.free.size === 0) {
@@ -35,17 +36,9 @@
       continue;
     }
     if (job.standing !== 'open' || job.notBefore > now.steady) continue;
-    rows.push({
-      job,
-      rank: rank(job.spec.priority),
-      inside: w.quota.within(job.spec, job.free.size) ? 0 : 1,
-      by: wantedBy(w, job),
-    });
+    rows.push({ job, level: level(job), by: wantedBy(w, job) });
   }
-  rows.sort(
-    (a, b) =>
-      b.rank - a.rank || a.inside - b.inside || a.by - b.by || (a.job.spec.id < b.job.spec.id ? -1 : 1),
-  );
+  rows.sort((a, b) => b.level - a.level || a.by - b.by || (a.job.spec.id < b.job.spec.id ? -1 : 1));
   return rows.map((r) => r.job);
 }
 
@@ -54,7 +47,13 @@
   for (const m of w.machines.values()) {
     const type = w.types.get(m.type);
     if (type === undefined || !usable(w, m, now.steady)) continue;
-    out.push({ machine: m, type, r: freeOn(w, m), zeta: m.intents.size });
+    const r = freeOn(w, m);
+    const room = { ...r };
+    for (const i of m.intents.values()) {
+      const job = w.jobs.get(i.job);
+      if (job !== undefined && i.stopping !== null) add(room, job, 1);
+    }
+    out.push({ machine: m, type, r, room, zeta: m.intents.size });
   }
   return out;
 }
@@ -62,13 +61,18 @@
 /** One round of placement over the waiting jobs. Jobs that do not fit wait a round, as in the paper. */
 export function pass(w: World, now: Now): Job[] {
   w.needPass = false;
+  markGuarantees(w);
   const open = candidates(w, now);
   const blocked: Job[] = [];
   for (const job of queue(w, now)) {
     const before = job.free.size;
     if (job.spec.kind === 'gang') passGang(w, job, open, now);
     else passSingly(w, job, open, now);
-    if (job.free.size > 0) blocked.push(job);
+    if (job.free.size > 0) {
+      blocked.push(job);
+      // Here, in the order of the queue: what is promised to this job is not given to the ones after it.
+      makeRoom(w, job, open, now);
+    }
     if (job.free.size < before)
       note(w, 'placed', {
         job: job.spec.id,
@@ -81,9 +85,8 @@
 }
 
 function book(open: Candidate[], chosen: Candidate, job: Job): void {
-  chosen.r.cpus -= job.spec.cpus;
-  chosen.r.gpus -= job.spec.gpus;
-  chosen.r.memory -= job.spec.memory;
+  add(chosen.r, job, -1);
+  add(chosen.room, job, -1);
   open[open.indexOf(chosen)] = { ...chosen, zeta: chosen.zeta + 1 };
 }
 
@@ -94,7 +97,9 @@
       job.waitReason = 'team limit';
       return;
     }
-    const fitting = open.filter((c) => fits(job.spec, c.r) && machineAllowed(job.spec, c.machine));
+    const fitting = open.filter(
+      (c) => fits(job.spec, c.r) && fits(job.spec, c.room) && machineAllowed(job.spec, c.machine),
+    );
     const inZones = fitting.filter((c) => zoneAllowed(job, c.machine.zone, taken));
     // The machine that failed a job comes last: it is used only if nothing else is left that fits.
     const clean = inZones.filter((c) => !job.failedOn.has(c.machine.name));
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -1,5 +1,5 @@
 import type { Job, Knobs, Machine, MachineType, Spec } from './model.js';
-import { seconds, toSeconds, type Steady } from './time.js';
+import { toSeconds } from './time.js';
 
 /**
  * The design's core: filter by request, score by weighted delays plus contention, pick the largest smaller free
@@ -16,6 +16,8 @@
   readonly type: MachineType;
   /** r_i: what no intent and no reported task takes. */
   readonly r: Free;
+  /** r_i and what is being stopped, less what is promised to work of a higher level. */
+  readonly room: Free;
   /** ζ_i: tasks held. */
   readonly zeta: number;
 }
@@ -86,12 +88,3 @@
   if (machine.spot && !spec.spot) return false;
   return spec.zone === null || spec.zone === machine.zone;
 }
-
-/** A machine that failed this job is avoided for a pause that grows with the job's failures on it. */
-export function avoided(job: Job, machine: Machine): boolean {
-  return job.failedOn.has(machine.name);
-}
-
-export function failurePause(failures: number): Steady {
-  return seconds(Math.min(2 ** Math.min(failures, 10) * 0.5, 60));
-}
--- a/src/core/quota.ts
+++ b/src/core/quota.ts
@@ -1,4 +1,4 @@
-import type { Job, Spec, Team } from './model.js';
+import type { Spec, Team } from './model.js';
 
 /** What a team's tasks may hold anywhere, by its recorded intents. */
 export interface Usage {
@@ -44,28 +44,6 @@
       max > 0 && used + each * count > max + 1e-6;
     return !over(u.cpus, spec.cpus, team.cpusMax) && !over(u.gpus, spec.gpus, team.gpusMax);
   }
-
-  /** Whether the team's use, after taking `count` tasks, would be inside its guarantee. */
-  within(spec: Spec, count: number): boolean {
-    const team = this.teams.get(spec.team);
-    if (team === undefined) return false;
-    const u = this.of(spec.team);
-    const inside = (used: number, each: number, g: number): boolean =>
-      g > 0 ? used + each * count <= g + 1e-6 : false;
-    return (
-      (team.gpus > 0 ? inside(u.gpus, spec.gpus, team.gpus) : team.cpus > 0) &&
-      (team.cpus > 0 ? inside(u.cpus, spec.cpus, team.cpus) : team.gpus > 0)
-    );
-  }
-
-  /** Whether the team holds more than its guarantee, so that others may reclaim from it. */
-  borrows(team: string): boolean {
-    const t = this.teams.get(team);
-    if (t === undefined) return true;
-    const u = this.of(team);
-    if (t.cpus <= 0 && t.gpus <= 0) return true;
-    return (t.gpus > 0 && u.gpus > t.gpus + 1e-6) || (t.cpus > 0 && u.cpus > t.cpus + 1e-6);
-  }
 }
 
 /** Whether a job as submitted could ever be inside its team's limit. */
@@ -78,5 +56,3 @@
     (team.gpusMax <= 0 || spec.gpus * n <= team.gpusMax + 1e-6)
   );
 }
-
-export const needsAllTasks = (job: Job): boolean => job.spec.kind === 'gang';
