Fleet closes machines, replicas and cached images steer, silent machines are returned

Cause: the pick spreads tasks, so on pora 48 machines stayed up with 40 to 110 GPUs free and none empty; replicas sat on twenty dear machines; replicas on silent machines waited for the lease. Ruled out for late replays: most of them run longer than 80 s by themselves. A survey line in the log every 10 s.

--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -6,6 +6,56 @@
 import { seconds, toSeconds, type Now } from './time.js';
 import { note, type RentOrder, type World } from './world.js';
 
+/** Share of the time left that an array task may spend waiting for another's place: fetches and late ends need the rest. */
+const PATIENCE = 0.3;
+const LEAST_CHARGE = seconds(60);
+
+/**
+ * Chooses the machines to keep: enough for what is in use plus a reserve, those that cannot be emptied soon and the
+ * cheap ones first. The rest is closed: the scheme's pick spreads tasks over all machines, and without this none would
+ * ever be empty and all would be paid for.
+ */
+export function closeSome(w: World, blocked: readonly Job[], now: Now): void {
+  const rows: { m: Machine; used: number; held: number; price: number }[] = [];
+  let inUse = 0;
+  for (const m of w.machines.values()) {
+    const type = w.types.get(m.type);
+    if (type === undefined || !usable(w, m, now.steady)) continue;
+    const r = freeOn(w, m);
+    const used =
+      1 - Math.min(r.cpus / type.cpus, type.gpus > 0 ? r.gpus / type.gpus : 1, r.memory / type.memory);
+    inUse += used;
+    rows.push({ m, used, held: heldFor(w, m, now), price: m.spot ? type.spotPrice : type.price });
+  }
+  rows.sort(
+    (a, b) => b.held - a.held || a.price - b.price || b.used - a.used || (a.m.name < b.m.name ? -1 : 1),
+  );
+  const want = Math.max(inUse * (1 + w.knobs.reserve), inUse + 1);
+  let kept = 0;
+  for (const row of rows) {
+    row.m.closed = blocked.length === 0 && kept >= want;
+    kept += 1;
+  }
+}
+
+/** How hard a machine is to empty: replicas stay for good, gangs for long, arrays end soon. */
+function heldFor(w: World, m: Machine, now: Now): number {
+  let held = 0;
+  for (const i of m.intents.values()) {
+    const job = w.jobs.get(i.job);
+    if (job === undefined) continue;
+    const left = Math.max(
+      estimateOf(w, job) - (i.runningSince === null ? 0 : toSeconds(now.steady - i.runningSince)),
+      0,
+    );
+    held = Math.max(held, job.spec.kind === 'service' ? 3 : left > LONG_S ? 2 : 0);
+  }
+  return held;
+}
+
+/** A task with more than this to go keeps its machine from being emptied soon. */
+const LONG_S = 60;
+
 interface Slot {
   readonly type: string;
   readonly zone: string;
@@ -28,11 +78,55 @@
   return Math.ceil(n / each);
 }
 
+/** A running array task: its place can be used again once it is done. */
+interface Turnover {
+  readonly zone: string;
+  readonly type: string;
+  readonly spot: boolean;
+  readonly left: number;
+  readonly job: Job;
+  used: boolean;
+}
+
+/** Places of running array tasks, soonest free first. */
+function turnovers(w: World, now: Now): Turnover[] {
+  const out: Turnover[] = [];
+  for (const m of w.machines.values()) {
+    if (!usable(w, m, now.steady)) continue;
+    for (const i of m.intents.values()) {
+      const job = w.jobs.get(i.job);
+      if (job === undefined || job.spec.kind !== 'array' || i.runningSince === null || i.stopping !== null)
+        continue;
+      const left = Math.max(estimateOf(w, job) - toSeconds(now.steady - i.runningSince), 1);
+      out.push({ zone: m.zone, type: m.type, spot: m.spot, left, job, used: false });
+    }
+  }
+  return out.sort((a, b) => a.left - b.left);
+}
+
+/** Whether a task of the job can follow a running one in time. */
+function follows(w: World, job: Job, list: readonly Turnover[], now: Now): Turnover | undefined {
+  if (job.spec.kind !== 'array') return undefined;
+  const slack = (wantedBy(w, job) - now.wall.getTime() / 1000) * PATIENCE;
+  return list.find(
+    (t) =>
+      !t.used &&
+      t.left <= slack &&
+      t.job.spec.gpus >= job.spec.gpus &&
+      t.job.spec.cpus >= job.spec.cpus - 1e-6 &&
+      t.job.spec.memory >= job.spec.memory - 1e-6 &&
+      (!t.spot || job.spec.spot) &&
+      (job.spec.types === null || job.spec.types.includes(t.type)) &&
+      (job.spec.zone === null || job.spec.zone === t.zone),
+  );
+}
+
 /** Machines to rent for work that neither free room, nor room coming free, nor machines on their way will hold. */
 export function rentals(w: World, blocked: readonly Job[], now: Now): RentOrder[] {
   if (w.types.size === 0 || !w.listSeen) return [];
   const slots = expectedSlots(w, now);
   const orders = new Map<string, { type: string; zone: string; spot: boolean; count: number }>();
+  const turning = turnovers(w, now);
   for (const job of blocked) {
     const taken = zonesTaken(job);
     let team = 0;
@@ -51,6 +145,13 @@
           (job.spec.types === null || job.spec.types.includes(s.type)) &&
           zoneAllowed(job, s.zone, taken),
       );
+      if (fitting === undefined) {
+        const after = follows(w, job, turning, now);
+        if (after !== undefined) {
+          after.used = true;
+          continue;
+        }
+      }
       const slot = fitting ?? openSlot(w, job, types, taken, orders, now);
       if (slot === null) break;
       if (fitting === undefined) slots.push(slot);
@@ -126,7 +227,7 @@
 }
 
 /** Machines with no task and no intent that nothing waits for, and those that never come up. */
-export function returns(w: World, blocked: readonly Job[], now: Now): { names: string[]; why: string }[] {
+export function returns(w: World, now: Now): { names: string[]; why: string }[] {
   const out: { names: string[]; why: string }[] = [];
   const idle: string[] = [];
   for (const m of w.machines.values()) {
@@ -141,7 +242,14 @@
     }
     if (m.session === 0) continue;
     m.idleSince ??= now.steady;
-    if (now.steady - m.idleSince >= w.knobs.idle && blocked.length === 0 && m.fenced) idle.push(m.name);
+    // A machine costs at least its first minute: until then it may as well stay.
+    if (
+      m.closed &&
+      m.fenced &&
+      now.steady - m.idleSince >= w.knobs.idle &&
+      now.steady - m.firstKnown >= LEAST_CHARGE
+    )
+      idle.push(m.name);
   }
   if (idle.length > 0) out.push({ names: idle.slice(0, 100), why: 'idle' });
   return out;
--- a/src/core/gangs.ts
+++ b/src/core/gangs.ts
@@ -55,7 +55,8 @@
         fits(spec, c.r) &&
         (!spec.spread || (inZone.get(c.machine.zone) ?? 0) + 1 <= Math.ceil(spec.tasks / 2)),
     );
-    const chosen = pick(spec, open, w.knobs) as (typeof trial)[number] | null;
+    const chosen = pick(spec, open, w.knobs, (c) => (spec.spot && !c.machine.spot ? 1 : 0)) as
+      (typeof trial)[number] | null;
     if (chosen === null) return null;
     add(chosen.r, job, -1);
     add(chosen.room, job, -1);
--- a/src/core/jobs.ts
+++ b/src/core/jobs.ts
@@ -1,5 +1,5 @@
 import { taskKey, type Chunk, type Intent, type Job, type JobRecord, type Machine } from './model.js';
-import type { Now, Steady } from './time.js';
+import { toSeconds, type Now, type Steady } from './time.js';
 import { inner, mayArrive, note, type World } from './world.js';
 
 /** Tasks per chunk: their intents with the longest names stay well below the value limit of the state service. */
@@ -157,6 +157,7 @@
       listed: null,
       listedAt: null,
       returning: false,
+      closed: false,
       firstKnown: now,
     };
     w.machines.set(name, m);
@@ -193,7 +194,7 @@
 }
 
 /** Ends an intent on proof that the task is not on the machine and cannot come there. */
-export function endIntent(w: World, intent: Intent, completed: boolean, why: string): void {
+export function endIntent(w: World, intent: Intent, completed: boolean, why: string, now?: Steady): void {
   const job = w.jobs.get(intent.job);
   if (job === undefined) return;
   const chunk = chunkOf(job, intent.task);
@@ -216,6 +217,9 @@
     attempt: intent.attempt,
     machine: intent.machine,
     why,
+    ...(now === undefined || intent.runningSince === null
+      ? {}
+      : { ran: toSeconds(now - intent.runningSince), expected: toSeconds(job.spec.estimate) }),
   });
   if (job.doneCount === job.spec.tasks) wantDone(w, job);
 }
--- a/src/core/machines.ts
+++ b/src/core/machines.ts
@@ -102,7 +102,7 @@
     if (job !== undefined && !completed) onFailure(w, job, m, t, now);
     if (intent.runningSince !== null && completed && job !== undefined)
       learnPace(w, job, now.steady - intent.runningSince);
-    endIntent(w, intent, completed, t.why ?? 'exited');
+    endIntent(w, intent, completed, t.why ?? 'exited', now.steady);
     if (job !== undefined && job.spec.kind === 'gang') onGangExit(w, job, t, completed, now);
   }
   if (r.session === m.session || m.session === 0) wantForget(w, m.name, t.job, t.task, t.attempt, now.steady);
--- a/src/core/model.ts
+++ b/src/core/model.ts
@@ -171,6 +171,8 @@
   listed: Listed['state'] | null;
   listedAt: Steady | null;
   returning: boolean;
+  /** The fleet would like to empty it: it is used only when nothing else fits. */
+  closed: boolean;
   firstKnown: Steady;
 }
 
@@ -212,8 +214,10 @@
   readonly phi: number;
   /** Image bandwidth in GB/s; null: the machine type's own. */
   readonly bandwidth: number | null;
-  /** An idle machine is returned after this long. */
+  /** An idle machine that is not needed is returned after this long. */
   readonly idle: Span;
+  /** Room kept free beyond what is in use, as a share of it. */
+  readonly reserve: number;
   /** Different jobs failing on a machine before it is set aside. */
   readonly faultJobs: number;
 }
--- a/src/core/owner.ts
+++ b/src/core/owner.ts
@@ -1,4 +1,4 @@
-import { logRent, onRefused, rentals, returns } from './fleet.js';
+import { closeSome, logRent, onRefused, rentals, returns } from './fleet.js';
 import { intentsOf, machineOf, onChunk, onJob, type ChunkImage } from './jobs.js';
 import {
   dispatch,
@@ -11,13 +11,16 @@
   reapSilent,
   tidyForgets,
   wantsHigherToken,
+  freeOn,
+  usable,
 } from './machines.js';
 import type { Facts, Intent, JobRecord, Knobs, Listed, MachineType, Report } from './model.js';
 import { nextTransaction, settled, type Transaction } from './outbox.js';
 import { mayStart } from './parts.js';
 import { pass } from './pass.js';
+import { heedNotices, returnSilent } from './suspicion.js';
 import { seconds, type Now, type Steady } from './time.js';
-import { newWorld, type Effect, type Order, type RentOrder, type Term, type World } from './world.js';
+import { newWorld, note, type Effect, type Order, type RentOrder, type Term, type World } from './world.js';
 
 /** What can happen to an owner. Each event is handled alone and yields what is to be done outside. */
 export type Event =
@@ -54,6 +57,7 @@
   readonly world: World;
   private fencedAt: Steady = 0n;
   private fleetAt: Steady = 0n;
+  private surveyAt: Steady = 0n;
 
   constructor(facts: Facts, knobs: Knobs, term: Term) {
     this.world = newWorld(facts, knobs, term);
@@ -133,6 +137,11 @@
   private onTick(now: Now): void {
     const w = this.world;
     reapSilent(w, now);
+    if (mayStart(w.contact, now.steady)) {
+      heedNotices(w, now);
+      this.giveBack(returnSilent(w, now), 'silent, with replicas on it');
+    }
+    this.survey(now);
     if (now.steady - this.fencedAt > seconds(2)) {
       this.fencedAt = now.steady;
       fence(w);
@@ -152,17 +161,48 @@
   private runFleet(now: Now): void {
     const w = this.world;
     const blocked = pass(w, now);
+    closeSome(w, blocked, now);
     for (const order of rentals(w, blocked, now)) {
       logRent(w, order);
       w.effects.push({ kind: 'rent', order });
     }
-    for (const r of returns(w, blocked, now)) {
-      for (const n of r.names) {
-        const m = w.machines.get(n);
-        if (m !== undefined) m.returning = true;
+    for (const r of returns(w, now)) this.giveBack(r.names, r.why);
+  }
+
+  private giveBack(names: readonly string[], why: string): void {
+    if (names.length === 0) return;
+    for (const n of names) {
+      const m = this.world.machines.get(n);
+      if (m !== undefined) m.returning = true;
+    }
+    this.world.effects.push({ kind: 'return', machines: names, why });
+  }
+
+  /** How things stand, for those who read the log. */
+  private survey(now: Now): void {
+    const w = this.world;
+    if (now.steady - this.surveyAt < seconds(10)) return;
+    this.surveyAt = now.steady;
+    const count = { ordinary: 0, spot: 0, empty: 0, closed: 0, unusable: 0 };
+    let free = 0;
+    for (const m of w.machines.values()) {
+      if (m.session === 0) continue;
+      if (!usable(w, m, now.steady)) count.unusable += 1;
+      else {
+        count[m.spot ? 'spot' : 'ordinary'] += 1;
+        if (m.intents.size === 0) count.empty += 1;
+        if (m.closed) count.closed += 1;
+        free += freeOn(w, m).gpus;
       }
-      w.effects.push({ kind: 'return', machines: r.names, why: r.why });
     }
+    let tasks = 0;
+    for (const id of w.waiting) tasks += w.jobs.get(id)?.free.size ?? 0;
+    note(
+      w,
+      'survey',
+      { ...count, booting: w.booting.size, freeGpus: free, waitingJobs: w.waiting.size, waitingTasks: tasks },
+      'info',
+    );
   }
 
   private onRented(name: string, machines: readonly string[] | null, now: Now): void {
--- a/src/core/pass.ts
+++ b/src/core/pass.ts
@@ -62,6 +62,7 @@
 export function pass(w: World, now: Now): Job[] {
   w.needPass = false;
   markGuarantees(w);
+  w.promised.clear();
   const open = candidates(w, now);
   const blocked: Job[] = [];
   for (const job of queue(w, now)) {
@@ -71,7 +72,7 @@
     if (job.free.size > 0) {
       blocked.push(job);
       // Here, in the order of the queue: what is promised to this job is not given to the ones after it.
-      makeRoom(w, job, open, now);
+      if (!w.promised.has(job.spec.id)) makeRoom(w, job, open, now, false);
     }
     if (job.free.size < before)
       note(w, 'placed', {
@@ -100,14 +101,23 @@
     const fitting = open.filter(
       (c) => fits(job.spec, c.r) && fits(job.spec, c.room) && machineAllowed(job.spec, c.machine),
     );
-    const inZones = fitting.filter((c) => zoneAllowed(job, c.machine.zone, taken));
+    const inZones = openFirst(fitting.filter((c) => zoneAllowed(job, c.machine.zone, taken)));
     // The machine that failed a job comes last: it is used only if nothing else is left that fits.
     const clean = inZones.filter((c) => !job.failedOn.has(c.machine.name));
-    const chosen = pick(
-      job.spec,
-      clean.length > 0 ? spreadOut(job, clean, taken) : retryable(job, inZones),
-      w.knobs,
-    );
+    const choice = clean.length > 0 ? spreadOut(job, clean, taken) : retryable(job, inZones);
+    const cached = choice.filter((c) => c.machine.images.has(job.spec.image));
+    // Where fetching the image would miss the moment, and something lower can make way next to a cached one, that
+    // room is made first; the fetch is the second choice.
+    if (
+      cached.length === 0 &&
+      choice.length > 0 &&
+      hurried(w, job, now) &&
+      makeRoom(w, job, open, now, true)
+    ) {
+      job.waitReason = 'room beside the cached image is being made';
+      return;
+    }
+    const chosen = pick(job.spec, choice, w.knobs, (c) => steer(w, job, c));
     if (chosen === null) {
       job.waitReason = fitting.length === 0 ? 'no room' : 'zone rules';
       return;
@@ -119,6 +129,33 @@
   }
 }
 
+/** Whether the job is wanted before an image could be fetched. */
+export function hurried(w: World, job: Job, now: Now): boolean {
+  if (job.spec.priority !== 'production') return false;
+  let fastest = 0;
+  for (const t of w.types.values()) fastest = Math.max(fastest, t.fetchGbPerS);
+  const left = wantedBy(w, job) - now.wall.getTime() / 1000;
+  return fastest > 0 && left > -5 && left < job.spec.imageGb / fastest;
+}
+
+/**
+ * Equally good machines: work that may run on spot machines goes there, and replicas go where replicas are, so that
+ * the dear machines that only they need stay few.
+ */
+function steer(w: World, job: Job, c: Candidate): number {
+  if (job.spec.spot) return c.machine.spot ? 0 : 1;
+  if (job.spec.kind !== 'service') return 0;
+  for (const i of c.machine.intents.values())
+    if (i.job !== job.spec.id && w.jobs.get(i.job)?.spec.kind === 'service') return 0;
+  return 1;
+}
+
+/** Machines that the fleet wants to empty are taken only when no other fits. */
+function openFirst(list: Candidate[]): Candidate[] {
+  const kept = list.filter((c) => !c.machine.closed);
+  return kept.length > 0 ? kept : list;
+}
+
 /** Replicas go to the zones that hold fewest of their job, so that one lost zone or machine costs little. */
 function spreadOut(job: Job, list: Candidate[], taken: ReadonlyMap<string, number>): Candidate[] {
   if (job.spec.kind !== 'service' || job.spec.tasks < 2) return list;
@@ -143,7 +180,8 @@
     job.waitReason = 'team limit';
     return;
   }
-  const placed = placeGang(w, job, open, now.steady);
+  const kept = open.filter((c) => !c.machine.closed);
+  const placed = placeGang(w, job, kept, now.steady) ?? placeGang(w, job, open, now.steady);
   if (placed === null) {
     job.waitReason = 'no room for all tasks at once';
     if (job.failedOn.size > 0 && now.steady - job.arrived > seconds(30)) job.failedOn.clear();
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -54,14 +54,24 @@
   return Math.min(share(cand.r.cpus, cand.type.cpus), share(cand.r.memory, cand.type.memory));
 }
 
-/** Algorithm 2: among the candidates within λ of the best Ω, the largest smaller free share. */
-export function pick(c: Spec, candidates: readonly Candidate[], knobs: Knobs): Candidate | null {
+/**
+ * Algorithm 2: among the candidates within λ of the best Ω, the largest smaller free share. `steer` (ours) narrows the
+ * band first: those with the smallest value stay.
+ */
+export function pick(
+  c: Spec,
+  candidates: readonly Candidate[],
+  knobs: Knobs,
+  steer: (cand: Candidate) => number = () => 0,
+): Candidate | null {
   const scored = candidates.map((cand) => ({ cand, score: omega(c, cand, knobs) }));
   let best = Infinity;
   for (const s of scored) best = Math.min(best, s.score);
+  const band = scored.filter((s) => s.score <= best + knobs.lambda).map((s) => s.cand);
+  const least = Math.min(...band.map(steer));
   let chosen: Candidate | null = null;
-  for (const { cand, score } of scored) {
-    if (score > best + knobs.lambda) continue;
+  for (const cand of band) {
+    if (steer(cand) > least) continue;
     // Equal shares go by name, so that the same picture always gives the same place.
     if (
       chosen === null ||
--- a/src/core/preempt.ts
+++ b/src/core/preempt.ts
@@ -58,6 +58,9 @@
   return job.spec.checkpoint > 0n ? toSeconds(job.spec.save) + 1 : 0;
 }
 
+/** A second of fetching against a second of lost work, beside the 10,000 that a level counts. */
+const FETCH_WEIGHT = 10;
+
 /** Room for one task of a blocked job, and what must go for it. */
 interface Offer {
   readonly at: Candidate;
@@ -75,9 +78,15 @@
  * Finds room for a blocked job in what is coming free, stopping what it may. The room is booked in the candidates'
  * `room`, so that work of a lower level does not take it while the stopped tasks are still going.
  */
-export function makeRoom(w: World, job: Job, open: readonly Candidate[], now: Now): void {
+export function makeRoom(
+  w: World,
+  job: Job,
+  open: readonly Candidate[],
+  now: Now,
+  cachedOnly: boolean,
+): boolean {
   const all = job.spec.kind === 'gang';
-  if (all && job.placedCount > 0) return;
+  if (all && job.placedCount > 0) return false;
   const taken = zonesTaken(job);
   const booked: Offer[] = [];
   const victims = new Set<Intent>();
@@ -88,8 +97,14 @@
     for (const c of open) {
       if (!machineAllowed(job.spec, c.machine) || !zoneAllowed(job, c.machine.zone, taken)) continue;
       if (job.failedOn.has(c.machine.name)) continue;
+      if (cachedOnly && !c.machine.images.has(job.spec.image)) continue;
       const offer = offerOf(w, job, c, victims, now);
-      if (offer !== null && (best === null || offer.cost < best.cost)) best = offer;
+      if (offer === null) continue;
+      const fetch = c.machine.images.has(job.spec.image)
+        ? 0
+        : job.spec.imageGb / Math.max(c.type.fetchGbPerS, 1e-6);
+      const cost = offer.cost + fetch * FETCH_WEIGHT;
+      if (best === null || cost < best.cost) best = { ...offer, cost };
     }
     if (best === null) break;
     book(w, job, best, 1);
@@ -100,9 +115,11 @@
   if (all && booked.length < job.free.size) {
     // Not all fit even so: nothing is stopped for it, and the room is given back.
     for (const b of booked) book(w, job, b, -1);
-    return;
+    return false;
   }
+  if (booked.length > 0) w.promised.add(job.spec.id);
   for (const i of victims) stopVictim(w, i, job, now);
+  return booked.length > 0;
 }
 
 function book(w: World, job: Job, o: Offer, sign: 1 | -1): void {
@@ -128,12 +145,25 @@
     },
     'info',
   );
-  const grace = graceFor(job);
+  // Saving takes longer than the job can wait: an array task then falls back to its last checkpoint instead.
+  const hasty =
+    job.spec.kind === 'array' && by.spec.priority === 'production' && hasteOf(w, by, now) < graceFor(job);
+  const grace = hasty ? 0 : graceFor(job);
   if (job.spec.kind === 'gang')
     for (const other of intentsOf(job)) stopIntent(w, other, grace, 'preempted', now.steady);
   else stopIntent(w, i, grace, 'preempted', now.steady);
 }
 
+/** Seconds in which the job's class should have started, by its objective. */
+function hasteOf(w: World, job: Job, now: Now): number {
+  let within = Infinity;
+  for (const o of w.facts.objectives)
+    if (o.kind === 'wait' && o.class === job.spec.class && o.within !== null)
+      within = Math.min(within, toSeconds(o.within));
+  const waited = (now.wall.getTime() - job.submitted.getTime()) / 1000;
+  return waited > within + 5 ? Infinity : within;
+}
+
 function offerOf(w: World, job: Job, at: Candidate, used: ReadonlySet<Intent>, now: Now): Offer | null {
   if (fits(job.spec, at.room)) return { at, victims: [], cost: 0 };
   const open: { i: Intent; job: Job; cost: number }[] = [];
--- /dev/null
+++ b/src/core/suspicion.ts
@@ -0,0 +1,61 @@
+import { graceFor } from './preempt.js';
+import { intentsOf, stopIntent } from './jobs.js';
+import type { Machine } from './model.js';
+import { estimateOf } from './pass.js';
+import { seconds, toSeconds, type Now, type Span } from './time.js';
+import { note, type World } from './world.js';
+
+/** How long a worker may be silent before it is suspected: reports come up to a quarter late, and packets get lost. */
+const suspectAfter = (w: World): Span => (w.facts.report * 5n) / 2n + seconds(1);
+/** How long after that it has to answer a direct call. */
+const LAST_WORD = seconds(2.5);
+
+const holdsReplica = (w: World, m: Machine): boolean =>
+  [...m.intents.values()].some((i) => w.jobs.get(i.job)?.spec.kind === 'service');
+
+/**
+ * Machines that fell silent with replicas on them. Waiting for the lease would leave users without those replicas, so
+ * the machine is asked directly and, if it has no last word, returned: that proves its tasks gone. When many fall
+ * silent together it is more likely that we are cut off, and nothing is returned: their leases decide.
+ */
+export function returnSilent(w: World, now: Now): string[] {
+  const after = suspectAfter(w);
+  if (now.steady - w.began < w.facts.lease) return [];
+  const known = [...w.machines.values()].filter((m) => m.fenced && !m.returning && m.session > m.deadSession);
+  const silent = known.filter((m) => now.steady - m.heard > after);
+  if (silent.length > Math.max(1, known.length / 5)) return [];
+  const out: string[] = [];
+  for (const m of silent) {
+    if (!holdsReplica(w, m)) continue;
+    if (now.steady - m.heard > after + LAST_WORD) out.push(m.name);
+    else w.effects.push({ kind: 'direct', machine: m.name, session: m.session, orders: [] });
+  }
+  return out;
+}
+
+/** Tasks on a machine that is about to be taken: what will not be done by then saves in time and goes elsewhere. */
+export function heedNotices(w: World, now: Now): void {
+  for (const m of w.machines.values()) {
+    if (m.notice === null || !m.fenced) continue;
+    const left = toSeconds(m.notice - now.steady);
+    for (const i of [...m.intents.values()]) {
+      const job = w.jobs.get(i.job);
+      if (job === undefined || i.stopping !== null) continue;
+      const ran = i.runningSince === null ? 0 : toSeconds(now.steady - i.runningSince);
+      const ends =
+        i.runningSince !== null && job.spec.kind !== 'service' && estimateOf(w, job) - ran < left - 2;
+      const grace = graceFor(job);
+      // A notice may be half its nominal length: what has to save is stopped while there surely is time.
+      if (ends && left > grace + 2) continue;
+      note(
+        w,
+        'stopped ahead of a spot notice',
+        { task: `${i.job}/${i.task}`, machine: m.name, left },
+        'info',
+      );
+      if (job.spec.kind === 'gang')
+        for (const other of intentsOf(job)) stopIntent(w, other, grace, 'notice', now.steady);
+      else stopIntent(w, i, grace, 'notice', now.steady);
+    }
+  }
+}
--- a/src/core/world.ts
+++ b/src/core/world.ts
@@ -65,6 +65,8 @@
   /** Jobs that have tasks without a place. */
   readonly waiting: Set<string>;
   needPass: boolean;
+  /** Jobs for which this pass has booked room already. */
+  readonly promised: Set<string>;
   effects: Effect[];
   /** Results whose `forget` waits for a commit: machine -> task key. */
   readonly forgets: Map<string, Map<string, Forget>>;
@@ -114,6 +116,7 @@
     dirtyJobs: new Set(),
     waiting: new Set(),
     needPass: true,
+    promised: new Set(),
     effects: [],
     forgets: new Map(),
     loose: new Map(),
--- a/src/edge/knobs.ts
+++ b/src/edge/knobs.ts
@@ -20,7 +20,8 @@
   betaRc: 0.02,
   phi: 0.1,
   bandwidth: null,
-  idle: seconds(40),
+  idle: seconds(15),
+  reserve: 0.35,
   faultJobs: 2,
 };
 
@@ -35,6 +36,7 @@
   },
   fleet: {
     'idle-s': { low: 5, high: 86_400, set: (k, v) => (k.idle = seconds(v)), get: (k) => toSeconds(k.idle) },
+    reserve: { low: 0, high: 5, set: (k, v) => (k.reserve = v), get: (k) => k.reserve },
   },
   machines: {
     'fault-jobs': {
