--- a/src/core/gangs.ts
+++ b/src/core/gangs.ts
@@ -5,6 +5,8 @@
 import type { Steady } from './time.js';
 import type { World } from './world.js';
 
+export type Steer = (w: World, job: Job, c: Candidate) => number;
+
 /** The next attempt number for a whole gang: above all that any of its chunks has given out. */
 export function nextAttempt(job: Job): number {
   let highest = 0;
@@ -18,6 +20,7 @@
   job: Job,
   candidates: readonly Candidate[],
   now: Steady,
+  steer: Steer,
 ): Intent[] | null {
   const spec = job.spec;
   const allowed = candidates.filter(
@@ -30,6 +33,7 @@
       w,
       job,
       allowed.filter((c) => zone === null || c.machine.zone === zone),
+      steer,
     );
     if (plan === null) continue;
     const images = plan.filter((m) => m.images.has(spec.image)).length;
@@ -43,7 +47,7 @@
   });
 }
 
-function planIn(w: World, job: Job, candidates: readonly Candidate[]): Machine[] | null {
+function planIn(w: World, job: Job, candidates: readonly Candidate[], steer: Steer): Machine[] | null {
   const spec = job.spec;
   // Free room is booked on copies: nothing is taken unless the whole gang fits.
   const trial = candidates.map((c) => ({ ...c, r: { ...c.r }, room: { ...c.room } }));
@@ -55,8 +59,7 @@
         fits(spec, c.r) &&
         (!spec.spread || (inZone.get(c.machine.zone) ?? 0) + 1 <= Math.ceil(spec.tasks / 2)),
     );
-    const chosen = pick(spec, open, w.knobs, (c) => (spec.spot && !c.machine.spot ? 1 : 0)) as
-      (typeof trial)[number] | null;
+    const chosen = pick(spec, open, w.knobs, (c) => steer(w, job, c)) as (typeof trial)[number] | null;
     if (chosen === null) return null;
     add(chosen.r, job, -1);
     add(chosen.room, job, -1);
--- a/src/core/pass.ts
+++ b/src/core/pass.ts
@@ -1,7 +1,7 @@
 import { placeGang } from './gangs.js';
 import { chunkOf, place, zonesTaken } from './jobs.js';
 import { freeOn, usable } from './machines.js';
-import type { Job } from './model.js';
+import type { Job, MachineType } from './model.js';
 import { fits, machineAllowed, pick, zoneAllowed, type Candidate } from './placement.js';
 import { add, level, makeRoom, markGuarantees } from './preempt.js';
 import { seconds, toSeconds, wallSeconds, type Now } from './time.js';
@@ -63,6 +63,7 @@
   w.needPass = false;
   markGuarantees(w);
   w.promised.clear();
+  w.wholeNeeded = someNeedWhole(w);
   const open = candidates(w, now);
   const blocked: Job[] = [];
   for (const job of queue(w, now)) {
@@ -140,16 +141,29 @@
 
 /**
  * Equally good machines: work that may run on spot machines goes there, and replicas go where replicas are, so that
- * the dear machines that only they need stay few.
+ * the dear machines that only they need stay few. While some work needs most of a machine, small tasks go beside
+ * others and leave whole machines free.
  */
-function steer(w: World, job: Job, c: Candidate): number {
-  if (job.spec.spot) return c.machine.spot ? 0 : 1;
-  if (job.spec.kind !== 'service') return 0;
+export function steer(w: World, job: Job, c: Candidate): number {
+  const breaks = c.zeta === 0 && w.wholeNeeded && !takesMost(job, c.type) ? 1 : 0;
+  if (job.spec.spot) return (c.machine.spot ? 0 : 2) + breaks;
+  if (job.spec.kind !== 'service') return breaks;
   for (const i of c.machine.intents.values())
     if (i.job !== job.spec.id && w.jobs.get(i.job)?.spec.kind === 'service') return 0;
   return 1;
 }
 
+/** Whether two tasks of the job do not fit one machine of the type. */
+function takesMost(job: Job, type: MachineType): boolean {
+  return job.spec.gpus * 2 > type.gpus || job.spec.cpus * 2 > type.cpus || job.spec.memory * 2 > type.memory;
+}
+
+function someNeedWhole(w: World): boolean {
+  for (const job of w.jobs.values())
+    if (job.standing === 'open') for (const t of w.types.values()) if (takesMost(job, t)) return true;
+  return false;
+}
+
 /** Machines that the fleet wants to empty are taken only when no other fits. */
 function openFirst(list: Candidate[]): Candidate[] {
   const kept = list.filter((c) => !c.machine.closed);
@@ -181,7 +195,7 @@
     return;
   }
   const kept = open.filter((c) => !c.machine.closed);
-  const placed = placeGang(w, job, kept, now.steady) ?? placeGang(w, job, open, now.steady);
+  const placed = placeGang(w, job, kept, now.steady, steer) ?? placeGang(w, job, open, now.steady, steer);
   if (placed === null) {
     job.waitReason = 'no room for all tasks at once';
     if (job.failedOn.size > 0 && now.steady - job.arrived > seconds(30)) job.failedOn.clear();
--- a/src/core/world.ts
+++ b/src/core/world.ts
@@ -65,6 +65,8 @@
   /** Jobs that have tasks without a place. */
   readonly waiting: Set<string>;
   needPass: boolean;
+  /** Some unfinished job's task takes most of a machine. */
+  wholeNeeded: boolean;
   /** Jobs for which this pass has booked room already. */
   readonly promised: Set<string>;
   effects: Effect[];
@@ -116,6 +118,7 @@
     dirtyJobs: new Set(),
     waiting: new Set(),
     needPass: true,
+    wholeNeeded: false,
     promised: new Set(),
     effects: [],
     forgets: new Map(),
