--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -3,7 +3,7 @@
 import type { Job, Machine, MachineType } from './model.js';
 import { estimateOf, wantedBy } from './pass.js';
 import { fits, zoneAllowed, type Free } from './placement.js';
-import { seconds, toSeconds, type Now, type Span } from './time.js';
+import { seconds, toSeconds, type Now } from './time.js';
 import { note, type RentOrder, type World } from './world.js';
 
 /** Share of the time left that an array task may spend waiting for another's place: fetches and late ends need the rest. */
@@ -246,7 +246,7 @@
     if (
       m.closed &&
       m.fenced &&
-      now.steady - m.idleSince >= keepFor(w, m) &&
+      now.steady - m.idleSince >= w.knobs.idle &&
       now.steady - m.firstKnown >= LEAST_CHARGE
     )
       idle.push(m.name);
@@ -255,19 +255,6 @@
   return out;
 }
 
-/**
- * How long an unneeded machine stays: as long as having another in its place would take, with its images. Work that
- * comes within that time would have waited for it.
- */
-function keepFor(w: World, m: Machine): Span {
-  const type = w.types.get(m.type);
-  if (type === undefined) return w.knobs.idle;
-  let gb = 0;
-  for (const i of m.images.values()) gb += i.gb;
-  const fetch = m.images.size === 0 ? 0 : gb / m.images.size / Math.max(type.fetchGbPerS, 1e-6);
-  return w.knobs.idle + type.boot + seconds(fetch);
-}
-
 function hopeless(w: World, m: Machine, now: Now): string | null {
   if (m.listed === 'failed') return 'failed';
   if (m.session > 0 && m.setAside) return 'set aside';
--- a/src/core/preempt.ts
+++ b/src/core/preempt.ts
@@ -87,17 +87,46 @@
 ): boolean {
   const all = job.spec.kind === 'gang';
   if (all && job.placedCount > 0) return false;
+  const want = all && !w.quota.allows(job.spec, job.spec.tasks) ? 0 : job.free.size;
+  const allowed = open.filter(
+    (c) =>
+      machineAllowed(job.spec, c.machine) &&
+      !job.failedOn.has(c.machine.name) &&
+      (!cachedOnly || c.machine.images.has(job.spec.image)),
+  );
+  // Where all tasks need one zone, each zone is planned by itself: starting with the cheapest machine of any zone
+  // could choose a zone that has no room for the rest, find nothing, and let lower work in until the next pass.
+  const zones = job.spec.oneZone ? [...new Set(allowed.map((c) => c.machine.zone))].sort() : [null];
+  let best: Offer[] = [];
+  let bestCost = Infinity;
+  for (const zone of zones) {
+    const offers = planRoom(
+      w,
+      job,
+      zone === null ? allowed : allowed.filter((c) => c.machine.zone === zone),
+      want,
+      now,
+    );
+    for (const o of offers) book(w, job, o, -1);
+    if (offers.length === 0 || (all && offers.length < want)) continue;
+    const cost = offers.reduce((sum, o) => sum + o.cost, 0) / offers.length;
+    if (cost < bestCost) [best, bestCost] = [offers, cost];
+  }
+  for (const o of best) book(w, job, o, 1);
+  if (best.length > 0) w.promised.add(job.spec.id);
+  for (const o of best) for (const i of o.victims) stopVictim(w, i, job, now);
+  return best.length > 0;
+}
+
+/** Books room for up to `want` tasks on the given machines, task by task at the least cost. */
+function planRoom(w: World, job: Job, open: readonly Candidate[], want: number, now: Now): Offer[] {
   const taken = zonesTaken(job);
   const booked: Offer[] = [];
   const victims = new Set<Intent>();
-  const want = w.quota.allows(job.spec, all ? job.spec.tasks : 1) ? job.free.size : 0;
-  for (let n = 0; n < want; n++) {
-    if (!w.quota.allows(job.spec, n + 1)) break;
+  for (let n = 0; n < want && w.quota.allows(job.spec, n + 1); n++) {
     let best: Offer | null = null;
     for (const c of open) {
-      if (!machineAllowed(job.spec, c.machine) || !zoneAllowed(job, c.machine.zone, taken)) continue;
-      if (job.failedOn.has(c.machine.name)) continue;
-      if (cachedOnly && !c.machine.images.has(job.spec.image)) continue;
+      if (!zoneAllowed(job, c.machine.zone, taken)) continue;
       const offer = offerOf(w, job, c, victims, now);
       if (offer === null) continue;
       const fetch = c.machine.images.has(job.spec.image)
@@ -112,14 +141,7 @@
     taken.set(best.at.machine.zone, (taken.get(best.at.machine.zone) ?? 0) + 1);
     booked.push(best);
   }
-  if (all && booked.length < job.free.size) {
-    // Not all fit even so: nothing is stopped for it, and the room is given back.
-    for (const b of booked) book(w, job, b, -1);
-    return false;
-  }
-  if (booked.length > 0) w.promised.add(job.spec.id);
-  for (const i of victims) stopVictim(w, i, job, now);
-  return booked.length > 0;
+  return booked;
 }
 
 function book(w: World, job: Job, o: Offer, sign: 1 | -1): void {
