--- /dev/null
+++ b/test/standins/http.ts
@@ -0,0 +1,58 @@
+import http from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { decode, encode } from '../../src/wire/cbor.js';
+
+export type Reply = { status: number; body: unknown };
+export type Handler = (method: string, url: URL, body: unknown) => Reply | Promise<Reply>;
+
+/** A CBOR server on loopback for a stand-in. */
+export async function listen(handler: Handler): Promise<{ addr: string; close: () => void }> {
+  const server = http.createServer((req, res) => {
+    const parts: Buffer[] = [];
+    req.on('data', (d: Buffer) => parts.push(d));
+    req.on('end', () => {
+      const raw = Buffer.concat(parts);
+      const url = new URL(req.url ?? '/', 'http://standin');
+      void Promise.resolve(handler(req.method ?? '', url, raw.length === 0 ? null : decode(raw))).then(
+        (r) => {
+          const out = encode(r.body);
+          res.writeHead(r.status, { 'content-length': out.length });
+          res.end(out);
+        },
+      );
+    });
+  });
+  await new Promise<void>((done) => server.listen(0, '127.0.0.1', done));
+  const addr = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+  return {
+    addr,
+    close: () => {
+      server.closeAllConnections();
+      server.close();
+    },
+  };
+}
+
+/** One request with a CBOR body, for tests that play users. */
+export async function call(
+  addr: string,
+  method: string,
+  path: string,
+  body?: unknown,
+): Promise<{ status: number; body: Record<string, unknown>; retryAfter: string | undefined }> {
+  return new Promise((resolve, reject) => {
+    const [host, port] = addr.split(':');
+    const req = http.request({ host, port, method, path, agent: false }, (res) => {
+      const parts: Buffer[] = [];
+      res.on('data', (d: Buffer) => parts.push(d));
+      res.on('end', () => {
+        const raw = Buffer.concat(parts);
+        const data = (raw.length === 0 ? {} : decode(raw)) as Record<string, unknown>;
+        resolve({ status: res.statusCode ?? 0, body: data, retryAfter: res.headers['retry-after'] });
+      });
+    });
+    req.on('error', reject);
+    if (body !== undefined) req.write(Buffer.isBuffer(body) ? body : encode(body));
+    req.end();
+  });
+}
--- /dev/null
+++ b/test/standins/state.ts
@@ -0,0 +1,135 @@
+import { listen, type Reply } from './http.js';
+
+interface Item {
+  value: unknown;
+  stamp: number;
+  permit: number | null;
+}
+
+/** A state service in memory: guards, stamps, holds that end, follows. It refuses what the interfaces refuse. */
+export class StateStandIn {
+  addr = '';
+  down = false;
+  rev = 0;
+  readonly items = new Map<string, Item>();
+  private readonly holds = new Map<number, { ttl: number; timer: NodeJS.Timeout }>();
+  private readonly news: { key: string; value: unknown; stamp: number; gone: boolean }[] = [];
+  private readonly waiting = new Set<() => void>();
+  private nextHold = 1;
+  private shut: () => void = () => undefined;
+
+  constructor(private readonly limits: { txnOps: number; valueBytes: number }) {}
+
+  async start(): Promise<void> {
+    const s = await listen((m, u, b) => this.answer(m, u, b as Record<string, unknown>));
+    this.addr = s.addr;
+    this.shut = s.close;
+  }
+
+  stop(): void {
+    for (const h of this.holds.values()) clearTimeout(h.timer);
+    this.shut();
+  }
+
+  private answer(method: string, url: URL, body: Record<string, unknown>): Reply | Promise<Reply> {
+    if (url.pathname === '/follow') return this.follow(url);
+    if (this.down) return { status: 503, body: { error: 'trouble' } };
+    if (url.pathname === '/commit') return this.commit(body);
+    if (url.pathname === '/store') return this.list(url);
+    if (url.pathname === '/holds') return this.hold(body['ttlMs'] as number);
+    const touch = /^\/holds\/(\d+)\/touch$/.exec(url.pathname);
+    if (touch !== null) return this.touch(Number(touch[1]));
+    const drop = /^\/holds\/(\d+)$/.exec(url.pathname);
+    if (drop !== null && method === 'DELETE') return this.end(Number(drop[1]));
+    return { status: 400, body: {} };
+  }
+
+  private list(url: URL): Reply {
+    const under = url.searchParams.get('under') ?? '';
+    const from = url.searchParams.get('from') ?? '';
+    const keys = [...this.items.keys()].filter((k) => k.startsWith(under) && k > from).sort();
+    const items = keys
+      .slice(0, 3)
+      .map((key) => ({ key, value: this.items.get(key)?.value, stamp: this.items.get(key)?.stamp }));
+    return { status: 200, body: { items, hasNext: keys.length > 3, ledgerRev: this.rev } };
+  }
+
+  private commit(body: Record<string, unknown>): Reply {
+    const guards = body['guards'] as { key: string; stamp: number }[];
+    const writes = body['writes'] as { write?: string; delete?: string; value?: unknown; permit?: number }[];
+    const tooLarge = writes.some((w) => JSON.stringify(w.value ?? null).length > this.limits.valueBytes);
+    if (writes.length > this.limits.txnOps || guards.length > this.limits.txnOps * 4 || tooLarge)
+      return { status: 400, body: { error: 'over a limit' } };
+    const failed = guards.filter((g) => (this.items.get(g.key)?.stamp ?? 0) !== g.stamp).map((g) => g.key);
+    if (failed.length > 0) return { status: 409, body: { failed, ledgerRev: this.rev } };
+    if (writes.some((w) => w.permit !== undefined && !this.holds.has(w.permit)))
+      return { status: 400, body: { error: 'no such lease' } };
+    if (writes.length > 0) {
+      this.rev += 1;
+      for (const w of writes)
+        this.change(w.write ?? w.delete ?? '', w.write === undefined ? undefined : w.value, w.permit ?? null);
+      this.wake();
+    }
+    return { status: 200, body: { ledgerRev: this.rev } };
+  }
+
+  private change(key: string, value: unknown, permit: number | null): void {
+    if (value === undefined) this.items.delete(key);
+    else this.items.set(key, { value, stamp: this.rev, permit });
+    this.news.push({ key, value, stamp: this.rev, gone: value === undefined });
+  }
+
+  private wake(): void {
+    for (const w of [...this.waiting]) w();
+  }
+
+  private hold(ttl: number): Reply {
+    const id = this.nextHold++;
+    this.holds.set(id, { ttl, timer: setTimeout(() => this.end(id), ttl) });
+    return { status: 200, body: { permit: id } };
+  }
+
+  private touch(id: number): Reply {
+    const h = this.holds.get(id);
+    if (h === undefined) return { status: 404, body: {} };
+    h.timer.refresh();
+    return { status: 200, body: {} };
+  }
+
+  end(id: number): Reply {
+    const h = this.holds.get(id);
+    if (h === undefined) return { status: 404, body: {} };
+    clearTimeout(h.timer);
+    this.holds.delete(id);
+    const keys = [...this.items].filter(([, i]) => i.permit === id).map(([k]) => k);
+    if (keys.length > 0) this.rev += 1;
+    for (const k of keys) this.change(k, undefined, null);
+    this.wake();
+    return { status: 200, body: {} };
+  }
+
+  private async follow(url: URL): Promise<Reply> {
+    const from = Number(url.searchParams.get('from'));
+    const holdMs = Number(url.searchParams.get('holdMs') ?? 0);
+    const fresh = () => (this.down ? [] : this.news.filter((n) => n.stamp > from));
+    if (fresh().length === 0)
+      await new Promise<void>((done) => {
+        const check = (): void => {
+          if (fresh().length === 0) return;
+          finish();
+        };
+        const finish = (): void => {
+          clearTimeout(timer);
+          this.waiting.delete(check);
+          done();
+        };
+        const timer = setTimeout(finish, holdMs);
+        timer.unref();
+        this.waiting.add(check);
+      });
+    const news = fresh().map((n) =>
+      n.gone ? { delete: n.key, stamp: n.stamp } : { write: n.key, value: n.value, stamp: n.stamp },
+    );
+    return { status: 200, body: { ledgerRev: this.rev, news } };
+  }
+}
--- /dev/null
+++ b/test/standins/worker.ts
@@ -0,0 +1,121 @@
+import { call, listen, type Reply } from './http.js';
+
+interface Held {
+  ticket: string;
+  try: number;
+  standing: 'running' | 'exited';
+  cause?: string;
+}
+
+interface Orders {
+  baton?: number;
+  shift?: number;
+  orders?: { verb: string; ticket: string; try: number }[];
+}
+
+/** What all workers together saw: a task must never run in two places. */
+export class Watch {
+  readonly running = new Map<string, string>();
+  readonly broken: string[] = [];
+  starts = 0;
+
+  start(ticket: string, machine: string): void {
+    this.starts += 1;
+    const other = this.running.get(ticket);
+    if (other !== undefined) this.broken.push(`${ticket} runs on ${other} and ${machine}`);
+    this.running.set(ticket, machine);
+  }
+}
+
+/** A worker: reports, keeps the highest token, drops what carries a lower one, and runs tasks for a set time. */
+export class WorkerStandIn {
+  addr = '';
+  token = 0;
+  private tick = 0;
+  private readonly held = new Map<string, Held>();
+  private readonly timers = new Set<NodeJS.Timeout>();
+  private shut: () => void = () => undefined;
+  private stopped = false;
+
+  constructor(
+    readonly name: string,
+    readonly zone: string,
+    private readonly controllers: readonly string[],
+    private readonly watch: Watch,
+    private readonly runMs: (ticket: string) => number | null,
+  ) {}
+
+  async start(): Promise<void> {
+    const s = await listen((_m, url, body) => this.answer(url, body as Orders));
+    this.addr = s.addr;
+    this.shut = s.close;
+    void this.report();
+  }
+
+  stop(): void {
+    this.stopped = true;
+    for (const t of this.timers) clearTimeout(t);
+    this.shut();
+  }
+
+  private body(): unknown {
+    this.tick += 1;
+    return {
+      rig: this.name,
+      endpoint: this.addr,
+      build: 'big',
+      hall: this.zone,
+      loaners: false,
+      shift: 1,
+      tick: this.tick,
+      baton: this.token,
+      recallS: null,
+      tickets: [...this.held.values()].map((h) => ({ ...h })),
+    };
+  }
+
+  private async report(): Promise<void> {
+    for (let at = 0; !this.stopped;) {
+      const addr = this.controllers[at % this.controllers.length] ?? '';
+      const r = await call(addr, 'POST', '/hello', this.body()).catch(() => null);
+      if (r?.status === 200) this.take(r.body as Orders);
+      else at += 1;
+      await new Promise<void>((done) => this.timers.add(setTimeout(done, 60)));
+    }
+  }
+
+  private answer(url: URL, body: Orders): Reply {
+    if (url.pathname === '/status') return { status: 200, body: this.body() };
+    if (body.baton === undefined || body.shift === undefined) return { status: 400, body: {} };
+    const ok = body.shift === 1 && body.baton >= this.token;
+    if (ok) this.take(body);
+    return { status: ok ? 200 : 409, body: this.body() };
+  }
+
+  private take(o: Orders): void {
+    if (o.baton === undefined || o.baton < this.token) return;
+    this.token = o.baton;
+    for (const c of o.orders ?? []) {
+      const key = `${c.ticket}#${c.try}`;
+      const held = this.held.get(key);
+      if (c.verb === 'run' && held === undefined) this.run(c.ticket, c.try, key);
+      if (c.verb === 'halt' && held?.standing === 'running') this.exit(held, 'stopped');
+      if (c.verb === 'forget' && held?.standing === 'exited') this.held.delete(key);
+    }
+  }
+
+  private run(ticket: string, attempt: number, key: string): void {
+    const held: Held = { ticket, try: attempt, standing: 'running' };
+    this.held.set(key, held);
+    this.watch.start(ticket, this.name);
+    const ms = this.runMs(ticket);
+    if (ms !== null) this.timers.add(setTimeout(() => this.exit(held, 'done'), ms));
+  }
+
+  private exit(held: Held, cause: string): void {
+    if (held.standing === 'exited') return;
+    held.standing = 'exited';
+    held.cause = cause;
+    this.watch.running.delete(held.ticket);
+  }
+}
