--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -3,6 +3,7 @@
 import type { Job, Machine, MachineType } from './model.js';
 import { estimateOf, wantedBy } from './pass.js';
 import { fits, zoneAllowed, type Free } from './placement.js';
+import { manySilent } from './suspicion.js';
 import { seconds, toSeconds, type Now } from './time.js';
 import { note, type RentOrder, type World } from './world.js';
 
@@ -230,12 +231,13 @@
 export function returns(w: World, now: Now): { names: string[]; why: string }[] {
   const out: { names: string[]; why: string }[] = [];
   const idle: string[] = [];
+  const many = manySilent(w, now);
   for (const m of w.machines.values()) {
     if (m.returning || m.intents.size > 0 || m.seen.size > 0) {
       m.idleSince = null;
       continue;
     }
-    const why = hopeless(w, m, now);
+    const why = hopeless(w, m, many, now);
     if (why !== null) {
       out.push({ names: [m.name], why });
       continue;
@@ -255,11 +257,11 @@
   return out;
 }
 
-function hopeless(w: World, m: Machine, now: Now): string | null {
+function hopeless(w: World, m: Machine, many: boolean, now: Now): string | null {
   if (m.listed === 'failed') return 'failed';
   if (m.session > 0 && m.setAside) return 'set aside';
-  if (m.session > 0 && now.steady - m.heard > w.facts.lease * 2n && now.steady > leaseEnd(w, m))
-    return 'silent';
+  const gone = m.session > 0 && now.steady - m.heard > w.facts.lease * 2n && now.steady > leaseEnd(w, m);
+  if (gone && !many) return 'silent';
   const booting = w.booting.get(m.name);
   const type = w.types.get(m.type);
   if (
--- a/src/core/owner.ts
+++ b/src/core/owner.ts
@@ -18,7 +18,7 @@
 import { nextTransaction, settled, type Transaction } from './outbox.js';
 import { mayStart } from './parts.js';
 import { pass } from './pass.js';
-import { heedNotices, returnSilent } from './suspicion.js';
+import { heedNotices, isDeaf, returnSilent } from './suspicion.js';
 import { seconds, type Now, type Steady } from './time.js';
 import { newWorld, note, type Effect, type Order, type RentOrder, type Term, type World } from './world.js';
 
@@ -138,6 +138,7 @@
     const w = this.world;
     reapSilent(w, now);
     if (mayStart(w.contact, now.steady)) {
+      if (isDeaf(w, now)) w.effects.push({ kind: 'abdicate', why: 'hardly any worker is heard' });
       heedNotices(w, now);
       this.giveBack(returnSilent(w, now), 'silent, with replicas on it');
     }
--- a/src/core/pass.ts
+++ b/src/core/pass.ts
@@ -63,6 +63,7 @@
   w.needPass = false;
   markGuarantees(w);
   w.promised.clear();
+  w.holding = null;
   w.wholeNeeded = someNeedWhole(w);
   const open = candidates(w, now);
   const blocked: Job[] = [];
--- a/src/core/preempt.ts
+++ b/src/core/preempt.ts
@@ -1,7 +1,7 @@
 import { intentsOf, stopIntent, zonesTaken } from './jobs.js';
 import { rank, type Intent, type Job } from './model.js';
 import { fits, machineAllowed, zoneAllowed, type Candidate, type Free } from './placement.js';
-import { toSeconds, type Now } from './time.js';
+import { toSeconds, wallSeconds, type Now } from './time.js';
 import { note, type World } from './world.js';
 
 /**
@@ -99,6 +99,7 @@
   const zones = job.spec.oneZone ? [...new Set(allowed.map((c) => c.machine.zone))].sort() : [null];
   let best: Offer[] = [];
   let bestCost = Infinity;
+  let partial: Offer[] = [];
   for (const zone of zones) {
     const offers = planRoom(
       w,
@@ -108,16 +109,36 @@
       now,
     );
     for (const o of offers) book(w, job, o, -1);
-    if (offers.length === 0 || (all && offers.length < want)) continue;
+    if (offers.length === 0) continue;
+    if (all && offers.length < want) {
+      const free = offers.filter((o) => o.victims.length === 0);
+      if (free.length > partial.length) partial = free;
+      continue;
+    }
     const cost = offers.reduce((sum, o) => sum + o.cost, 0) / offers.length;
     if (cost < bestCost) [best, bestCost] = [offers, cost];
   }
+  if (best.length === 0) holdTogether(w, job, partial, now);
   for (const o of best) book(w, job, o, 1);
   if (best.length > 0) w.promised.add(job.spec.id);
   for (const o of best) for (const i of o.victims) stopVictim(w, i, job, now);
   return best.length > 0;
 }
 
+/** Seconds after which free room is kept together for a gang. */
+const HOLD_AFTER_S = 10;
+
+/**
+ * A gang that has waited and may stop nothing: what is free for it in its best zone is kept together, or small work
+ * would go on taking every piece. Only the first such gang of a pass holds room, so that little stands idle.
+ */
+function holdTogether(w: World, job: Job, partial: readonly Offer[], now: Now): void {
+  if (partial.length === 0 || w.holding !== null) return;
+  if (wallSeconds(job.submitted, now.wall) < HOLD_AFTER_S) return;
+  w.holding = job.spec.id;
+  for (const o of partial) book(w, job, o, 1);
+}
+
 /** Books room for up to `want` tasks on the given machines, task by task at the least cost. */
 function planRoom(w: World, job: Job, open: readonly Candidate[], want: number, now: Now): Offer[] {
   const taken = zonesTaken(job);
--- a/src/core/suspicion.ts
+++ b/src/core/suspicion.ts
@@ -13,6 +13,28 @@
 const holdsReplica = (w: World, m: Machine): boolean =>
   [...m.intents.values()].some((i) => w.jobs.get(i.job)?.spec.kind === 'service');
 
+const known = (w: World): Machine[] =>
+  [...w.machines.values()].filter((m) => m.fenced && !m.returning && m.listed !== 'failed' && m.session > 0);
+
+/** So many machines silent at once that it is more likely we who are cut off: none of them is returned then. */
+export function manySilent(w: World, now: Now): boolean {
+  const all = known(w);
+  const silent = all.filter((m) => now.steady - m.heard > suspectAfter(w)).length;
+  return silent > Math.max(1, all.length / 5);
+}
+
+/**
+ * An owner that still has the state service but hears hardly any worker keeps their leases from being renewed by
+ * anybody: the other controllers send the workers back to it. It gives the part up, in time for another to answer
+ * before the leases end.
+ */
+export function isDeaf(w: World, now: Now): boolean {
+  if (now.steady - w.began < w.facts.lease / 2n) return false;
+  const all = known(w);
+  const silent = all.filter((m) => now.steady - m.heard > suspectAfter(w)).length;
+  return all.length >= 3 && silent * 4 >= all.length * 3;
+}
+
 /**
  * Machines that fell silent with replicas on them. Waiting for the lease would leave users without those replicas, so
  * the machine is asked directly and, if it has no last word, returned: that proves its tasks gone. When many fall
@@ -21,9 +43,8 @@
 export function returnSilent(w: World, now: Now): string[] {
   const after = suspectAfter(w);
   if (now.steady - w.began < w.facts.lease) return [];
-  const known = [...w.machines.values()].filter((m) => m.fenced && !m.returning && m.session > m.deadSession);
-  const silent = known.filter((m) => now.steady - m.heard > after);
-  if (silent.length > Math.max(1, known.length / 5)) return [];
+  const silent = known(w).filter((m) => m.session > m.deadSession && now.steady - m.heard > after);
+  if (manySilent(w, now)) return [];
   const out: string[] = [];
   for (const m of silent) {
     if (!holdsReplica(w, m)) continue;
--- a/src/core/world.ts
+++ b/src/core/world.ts
@@ -29,6 +29,7 @@
   | { readonly kind: 'return'; readonly machines: readonly string[]; readonly why: string }
   | { readonly kind: 'raise'; readonly why: string }
   | { readonly kind: 'deposed'; readonly token: number }
+  | { readonly kind: 'abdicate'; readonly why: string }
   | {
       readonly kind: 'note';
       readonly level: 'info' | 'debug';
@@ -65,6 +66,8 @@
   /** Jobs that have tasks without a place. */
   readonly waiting: Set<string>;
   needPass: boolean;
+  /** The gang for which this pass keeps free room together. */
+  holding: string | null;
   /** Some unfinished job's task takes most of a machine. */
   wholeNeeded: boolean;
   /** Jobs for which this pass has booked room already. */
@@ -118,6 +121,7 @@
     dirtyJobs: new Set(),
     waiting: new Set(),
     needPass: true,
+    holding: null,
     wholeNeeded: false,
     promised: new Set(),
     effects: [],
--- a/src/edge/ownership.ts
+++ b/src/edge/ownership.ts
@@ -2,6 +2,7 @@
 import type { Facts, Knobs } from '../core/model.js';
 import { toSeconds } from '../core/time.js';
 import { partKey, readPart, type PartRecord } from '../wire/records.js';
+import { steady } from './clock.js';
 import type { Cloud } from './cloud.js';
 import { Wake, duty, messageOf } from './duty.js';
 import { jittered } from './jitter.js';
@@ -13,6 +14,7 @@
 export class Ownership {
   private current: Term | null = null;
   private readonly wake = new Wake();
+  private restsUntil = 0n;
   private readonly record: PartRecord;
 
   constructor(
@@ -52,7 +54,7 @@
 
   private async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      if (this.current === null && this.store.loaded) {
+      if (this.current === null && this.store.loaded && steady() >= this.restsUntil) {
         try {
           await this.attempt();
         } catch (e) {
@@ -102,6 +104,9 @@
         cloud: this.cloud,
         log: this.log,
         writeRps: this.writeRps,
+        onAbdicate: () => {
+          this.restsUntil = steady() + REST;
+        },
         onEnd: () => {
           if (this.current === term) this.current = null;
           this.store.followGapMs = FOLLOWER_GAP_MS;
@@ -123,5 +128,7 @@
   }
 }
 
+/** After giving the part up, others have this long to take it. */
+const REST = 15_000_000_000n;
 const OWNER_GAP_MS = 100;
 const FOLLOWER_GAP_MS = 250;
--- a/src/edge/term.ts
+++ b/src/edge/term.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from 'node:events';
 import { Subscription, interval } from 'rxjs';
 import { Owner, type Event } from '../core/owner.js';
 import type { Facts, Knobs, Report } from '../core/model.js';
@@ -33,6 +34,8 @@
   readonly log: Log;
   readonly writeRps: number;
   readonly onEnd: (why: string) => void;
+  /** The part was given up for another controller to take. */
+  readonly onAbdicate: () => void;
 }
 
 const TICK_MS = 250;
@@ -59,6 +62,8 @@
     private readonly permit: number,
     private readonly touchMs: number,
   ) {
+    // Rentals and returns under way each listen for the end of the term; there is no fixed number of them.
+    setMaxListeners(0, this.stop.signal);
     const t = now();
     this.core = new Owner(p.facts, p.knobs, {
       token,
@@ -158,6 +163,12 @@
         this.raise = e.why;
         this.commitWake.wake();
         break;
+      case 'abdicate':
+        this.end(e.why);
+        this.p.onAbdicate();
+        // Without its hold the key goes at once, and another controller can take the part.
+        void this.p.store.drop(this.permit);
+        break;
       case 'deposed':
         this.end(`a worker has seen the higher token ${e.token}`);
         break;
--- a/test/player.ts
+++ b/test/player.ts
@@ -112,6 +112,7 @@
     else if (f.kind === 'direct') this.out.push(`fence ${f.machine}`);
     else if (f.kind === 'return') this.out.push(`return ${f.machines.join(',')}`);
     else if (f.kind === 'raise') this.out.push('raise');
+    else if (f.kind === 'abdicate') this.out.push('abdicate');
     else if (f.kind === 'deposed') this.out.push(`deposed ${f.token}`);
   }
 
