--- a/src/core/pass.ts
+++ b/src/core/pass.ts
@@ -103,6 +103,7 @@
     const fitting = open.filter(
       (c) => fits(job.spec, c.r) && fits(job.spec, c.room) && machineAllowed(job.spec, c.machine),
     );
+    if (open.length >= LEFT_WHOLE * 8 && patient(w, job, now)) leaveWhole(fitting, open);
     const inZones = openFirst(fitting.filter((c) => zoneAllowed(job, c.machine.zone, taken)));
     // The machine that failed a job comes last: it is used only if nothing else is left that fits.
     const clean = inZones.filter((c) => !job.failedOn.has(c.machine.name));
@@ -131,6 +132,27 @@
   }
 }
 
+/** Work that is not wanted before new machines could be up twice over. */
+function patient(w: World, job: Job, now: Now): boolean {
+  if (job.spec.kind === 'service') return false;
+  let boot = 0;
+  for (const t of w.types.values()) boot = Math.max(boot, toSeconds(t.boot));
+  // Only where some class is promised a start within that time is there anything to leave room for.
+  const hasty = w.facts.objectives.some(
+    (o) => o.kind === 'wait' && o.within !== null && toSeconds(o.within) < 2 * boot,
+  );
+  return hasty && wantedBy(w, job) - now.wall.getTime() / 1000 > 2 * boot;
+}
+
+/** Machines that patient work leaves whole, for work that comes with less time; never an eighth of what there is. */
+const LEFT_WHOLE = 2;
+
+/** Takes the empty machines out of the choice while there are few of them. */
+function leaveWhole(fitting: Candidate[], open: readonly Candidate[]): void {
+  if (open.filter((c) => c.zeta === 0).length > LEFT_WHOLE) return;
+  for (let n = fitting.length - 1; n >= 0; n--) if (fitting[n]?.zeta === 0) fitting.splice(n, 1);
+}
+
 /** Whether the job is wanted before an image could be fetched. */
 export function hurried(w: World, job: Job, now: Now): boolean {
   if (job.spec.priority !== 'production') return false;
