--- a/src/edge/knobs.ts
+++ b/src/edge/knobs.ts
@@ -4,7 +4,7 @@
 import { seconds, toSeconds } from '../core/time.js';
 import { SettingsError } from './settings.js';
 
-/** The operators' own settings: S-expressions such as `(placement (alpha 0.5) (lambda 0.5))`, with checked ranges. */
+/** The operators' own settings: S-expressions such as `(placement (alpha 0.25) (lambda 0.5))`, with checked ranges. */
 interface Range {
   readonly low: number;
   readonly high: number;
