--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -161,7 +161,7 @@
 /** The cloud takes no more in one request. */
 const RENT_AT_ONCE = 50;
 /** New machines asked for in one round: the answers to these come before the next. */
-const RENT_A_ROUND = 200;
+const RENT_A_ROUND = 400;
 
 /** Machines to rent for work that neither free room, nor room coming free, nor machines on their way will hold. */
 export function rentals(w: World, blocked: readonly Job[], now: Now): RentOrder[] {
--- a/src/core/outbox.ts
+++ b/src/core/outbox.ts
@@ -25,8 +25,12 @@
   readonly done: readonly string[];
 }
 
-/** Ended places wait this long for company. */
-const COMPANY = seconds(1);
+/**
+ * Ended places wait this long for company: nobody waits for them, and each write of a page costs a change. Where more
+ * pages change than fit one transaction they wait longer, so that what is waited for is not behind them.
+ */
+const company = (w: World): Steady =>
+  seconds(1) * BigInt(Math.max(1, Math.ceil(w.dirty.size / w.facts.txnOps)));
 
 const unrecorded = (job: Job, but: ReadonlySet<number>): boolean => {
   for (const c of job.chunks.values())
@@ -50,6 +54,24 @@
   return out;
 }
 
+/** Adds jobs that are done, up to `most` changes in all. */
+function finishing(
+  w: World,
+  most: number,
+  taken: ReadonlySet<number>,
+  jobs: Map<string, number>,
+  done: string[],
+  ids: readonly number[],
+): void {
+  for (const id of w.dirtyJobs.keys()) {
+    if (ids.length + done.length >= most || ids.length + jobs.size + 1 >= 4 * w.facts.txnOps) return;
+    const job = w.jobs.get(id);
+    if (job === undefined || job.standing !== 'open' || done.includes(id) || unrecorded(job, taken)) continue;
+    done.push(id);
+    jobs.set(id, job.stamp);
+  }
+}
+
 /** The next transaction, or null when nothing waits. What it holds stays dirty until `settled`. */
 export function nextTransaction(w: World, now: Steady): Transaction | null {
   const ops = w.facts.txnOps;
@@ -57,25 +79,22 @@
   const ids: number[] = [];
   const taken = new Set<number>();
   const jobs = new Map<string, number>();
+  const done: string[] = [];
+  // "Done" is told once committed, and it must not be committed ahead of the results that make it true. Jobs whose
+  // results are recorded come first: behind the pages they would wait as long as pages go on changing.
+  finishing(w, ops / 2, taken, jobs, done, ids);
   const order = [...w.urgent];
-  for (const [id, since] of w.dirty) if (now - since >= COMPANY && !w.urgent.has(id)) order.push(id);
+  const wait = company(w);
+  for (const [id, since] of w.dirty) if (now - since >= wait && !w.urgent.has(id)) order.push(id);
   for (const id of order) {
-    if (ids.length >= ops) break;
+    if (ids.length + done.length >= ops) break;
     const starting = startingIn(w, id).filter((j) => !jobs.has(j.spec.id));
     if (ids.length + 1 + jobs.size + starting.length > guards) continue;
     for (const j of starting) jobs.set(j.spec.id, j.stamp);
     ids.push(id);
     taken.add(id);
   }
-  const done: string[] = [];
-  for (const id of w.dirtyJobs.keys()) {
-    if (ids.length + done.length >= ops || ids.length + jobs.size >= guards) break;
-    const job = w.jobs.get(id);
-    // "Done" is told once committed, and it must not be committed ahead of the results that make it true.
-    if (job === undefined || job.standing !== 'open' || unrecorded(job, taken)) continue;
-    done.push(id);
-    jobs.set(id, job.stamp);
-  }
+  finishing(w, ops, taken, jobs, done, ids);
   if (ids.length === 0 && done.length === 0) return null;
   const pages: PageWrite[] = [];
   for (const id of ids) {
--- a/src/edge/duty.ts
+++ b/src/edge/duty.ts
@@ -75,7 +75,7 @@
   private at = process.hrtime.bigint();
 
   constructor(
-    private readonly perSecond: number,
+    public perSecond: number,
     private readonly burst: number,
   ) {
     this.tokens = burst;
--- a/src/edge/term.ts
+++ b/src/edge/term.ts
@@ -40,6 +40,13 @@
 
 const TICK_MS = 100;
 const HEARTBEAT_MS = 1000;
+/**
+ * The owner's share of the changes that the state service takes. Users' submissions and cancellations go first: what
+ * they were seen to take is left free, but never so much that nothing is placed any more.
+ */
+const MOST_SHARE = 0.8;
+const LEAST_SHARE = 0.5;
+const ALL_SHARE = 0.95;
 
 /**
  * One term as the owner of a part: the core with the sockets and timers round it. All of its routines hang on one
@@ -52,6 +59,8 @@
   private readonly commitWake = new Wake();
   private readonly budget: Allowance;
   private rentals = 0;
+  private usersChanges = 0;
+  private usersRate = 0;
   private raise: string | null = null;
   private over = false;
   private readonly stop = new AbortController();
@@ -70,7 +79,7 @@
       began: t.steady,
       othersQuiet: othersQuietFrom(p.facts, t.steady),
     });
-    this.budget = new Allowance(p.writeRps * 0.6, Math.max(p.facts.txnOps, p.writeRps * 0.5));
+    this.budget = new Allowance(p.writeRps * MOST_SHARE, Math.max(p.facts.txnOps, p.writeRps * 0.5));
     this.workers = new Workers(
       () => this.core.world.token,
       (r) =>
@@ -97,6 +106,7 @@
     this.routines.add(() => this.stop.abort());
     this.routines.add(store.changes.subscribe((c) => this.onChange(c)));
     this.routines.add(interval(TICK_MS).subscribe(() => this.event({ kind: 'tick' })));
+    this.routines.add(interval(1000).subscribe(() => this.share()));
     this.routines.add(duty('hold', log, (s) => this.keepHold(s)));
     this.routines.add(duty('heartbeat', log, (s) => this.heartbeat(s)));
     this.routines.add(duty('commits', log, (s) => this.commits(s)));
@@ -104,6 +114,15 @@
     this.routines.add(duty('machine types', log, (s) => this.pollTypes(s)));
   }
 
+  /** Sets what the owner may write by what users' changes took lately. */
+  private share(): void {
+    this.usersRate = this.usersRate * 0.5 + this.usersChanges * 0.5;
+    this.usersChanges = 0;
+    const all = this.p.writeRps;
+    const left = all * ALL_SHARE - this.usersRate * 1.25;
+    this.budget.perSecond = Math.min(all * MOST_SHARE, Math.max(all * LEAST_SHARE, left));
+  }
+
   end(why: string): void {
     if (this.over) return;
     this.over = true;
@@ -194,8 +213,11 @@
 
   private onChange(c: Change): void {
     const k = parseKey(c.key);
-    if (k.kind === 'job' && c.entry !== null)
-      this.event({ kind: 'job', id: k.id, record: readJob(c.entry.value), stamp: c.entry.stamp });
+    if (k.kind === 'job' && c.entry !== null) {
+      const record = readJob(c.entry.value);
+      if (record.standing !== 'done') this.usersChanges += 1;
+      this.event({ kind: 'job', id: k.id, record, stamp: c.entry.stamp });
+    }
     if (k.kind === 'part' && k.part === this.p.part) {
       const mine =
         c.entry !== null && (c.entry.value as PartRecord).incarnation === this.p.record.incarnation;
