A link between controllers; users leave a cut controller at once; the reserve falls with size

Change: controllers tell one another how current they are; one that alone is cut refuses at once, closes the connection and says so by healthz. The reserve is a share up to 30 machines in use and grows with the 0.65th power above.

--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -31,7 +31,7 @@
   rows.sort(
     (a, b) => b.held - a.held || a.price - b.price || b.used - a.used || (a.m.name < b.m.name ? -1 : 1),
   );
-  const want = Math.max(inUse * (1 + w.knobs.reserve), inUse + 1);
+  const want = inUse + Math.max(spareFor(inUse, w.knobs.reserve), 1);
   let kept = 0;
   for (const row of rows) {
     row.m.closed = blocked.length === 0 && kept >= want;
@@ -39,6 +39,19 @@
   }
 }
 
+/** Up to so many machines in use the reserve is a fixed share of them. */
+const RESERVE_FULL = 30;
+const RESERVE_EXPONENT = 0.65;
+
+/**
+ * Machines kept beyond those in use. The more work there is, the more its ups and downs even out, so the share that is
+ * needed falls with the size of the fleet.
+ */
+export function spareFor(inUse: number, reserve: number): number {
+  if (inUse <= RESERVE_FULL) return inUse * reserve;
+  return RESERVE_FULL * reserve * (inUse / RESERVE_FULL) ** RESERVE_EXPONENT;
+}
+
 /** How hard a machine is to empty: replicas stay for good, gangs for long, arrays end soon. */
 function heldFor(w: World, m: Machine, now: Now): number {
   let held = 0;
--- a/src/edge/api.ts
+++ b/src/edge/api.ts
@@ -39,7 +39,7 @@
   res.end(raw);
 }
 
-function sendAnswer(res: Response, a: Answer<View>, fresh: number): void {
+function sendAnswer(p: ApiParts, res: Response, a: Answer<View>, fresh: number): void {
   switch (a.kind) {
     case 'ok':
       send(res, a.fresh ? fresh : 200, jobAnswer(a.value.id, a.value.standing, a.value));
@@ -52,6 +52,8 @@
       break;
     case 'later':
       res.setHeader('retry-after', String(a.seconds));
+      // A user stays on the connection it has: closing it lets the next try come to a controller that can answer.
+      if (!p.healthy()) res.setHeader('connection', 'close');
       send(res, 503, { error: a.why });
       break;
   }
@@ -87,19 +89,19 @@
     if (id === null) return send(res, 400, { error: spec.ok ? 'ref: invalid' : spec.why });
     const a = await p.desk.submit(id, spec.ok ? spec.value : spec.why);
     if (a.kind === 'never' && !spec.ok) return send(res, 400, { error: a.why });
-    sendAnswer(res, a, 201);
+    sendAnswer(p, res, a, 201);
   });
 
   app.get(`${API_PATHS.jobs}/:id`, async (req, res) => {
     const id = req.params.id;
     if (!isJobId(id)) return send(res, 404, { error: 'no such job' });
-    sendAnswer(res, await p.desk.look(id), 200);
+    sendAnswer(p, res, await p.desk.look(id), 200);
   });
 
   app.post(`${API_PATHS.jobs}/:id/${API_PATHS.cancel}`, async (req, res) => {
     const id = req.params.id;
     if (!isJobId(id)) return send(res, 404, { error: 'no such job' });
-    sendAnswer(res, await p.desk.cancel(id), 200);
+    sendAnswer(p, res, await p.desk.cancel(id), 200);
   });
 
   app.get(API_PATHS.health, (_req, res) => {
--- a/src/edge/desk.ts
+++ b/src/edge/desk.ts
@@ -24,6 +24,7 @@
 
 const SUBMIT_LIMIT_MS = 3500;
 const POLL_LIMIT_MS = 1500;
+const CUT_MS = 3000;
 /** Askers that may wait inside at once; more are refused at the door. */
 const ROOM = 48;
 
@@ -59,6 +60,7 @@
   async look(id: string, limitMs = POLL_LIMIT_MS): Promise<Answer<View>> {
     const known = this.view(id);
     if (known !== null && (known.standing === 'done' || known.standing === 'cancelled')) return ok(known);
+    if (this.cutOff()) return cut;
     if (this.inside >= ROOM) return busy;
     this.inside += 1;
     try {
@@ -80,6 +82,7 @@
       return v.kind === 'absent' ? { kind: 'never', why } : v;
     }
     if (typeof spec === 'string') return { kind: 'never', why: spec };
+    if (this.cutOff()) return cut;
     if (!this.ready) return { kind: 'later', seconds: 2, why: 'machine types are not known yet' };
     if (this.inside >= ROOM) return busy;
     this.inside += 1;
@@ -114,6 +117,7 @@
     for (let n = 0; millisSince(began) < SUBMIT_LIMIT_MS; n++) {
       const seen = this.view(id);
       if (seen !== null && (seen.standing === 'done' || seen.standing === 'cancelled')) return ok(seen);
+      if (this.cutOff()) return cut;
       const e = this.store.copy.get(jobKey(id));
       if (e === undefined || n > 0) {
         const v = await this.look(id, 1500);
@@ -133,6 +137,11 @@
     return cut;
   }
 
+  /** Nothing has been heard of the state service for so long that an asker would only wait in vain. */
+  private cutOff(): boolean {
+    return millisSince(this.store.freshAt) > CUT_MS;
+  }
+
   private neverRuns(spec: Spec): string | null {
     if (!this.teams.some((t) => t.name === spec.team)) return `unknown team ${spec.team}`;
     if (!everWithinLimit(spec, this.teams)) return 'more than the limit of its team';
--- a/src/edge/service.ts
+++ b/src/edge/service.ts
@@ -8,13 +8,16 @@
 import { jittered } from './jitter.js';
 import type { Log } from './log.js';
 import { Ownership } from './ownership.js';
+import { Peers } from './peers.js';
 import { factsOf, type Platform } from './settings.js';
 import { Store } from './store.js';
 
 /** The one part of today; names and keys leave room for more. */
 const PART = 'all';
-/** Without a word from the state service for this long, a controller no longer asks for users. */
+/** Without a current copy for this long a controller no longer asks for users, whatever the others say. */
 const HEALTH_MS = 15_000;
+/** If another controller has one, it is ours alone that is missing, and users are better served there. */
+const ALONE_MS = 3000;
 
 /** A controller: everything it does hangs on the subscription that this returns. */
 export function startService(
@@ -40,8 +43,27 @@
     p.facts.state.write_rps,
   );
 
+  const peers = new Peers(
+    p.internal_addr,
+    p.known,
+    () => ({
+      label: p.label,
+      owner: owner.term !== null,
+      contactMs: store.freshAt === 0n ? null : millisSince(store.freshAt),
+      token: BigInt(owner.term?.token ?? 0),
+    }),
+    log,
+  );
+  const healthy = (): boolean => {
+    if (!desk.ready) return false;
+    const age = millisSince(store.freshAt);
+    // In an outage that all see, going away would only keep users out longer once it is over.
+    return age < ALONE_MS || (age < HEALTH_MS && !peers.othersHaveContact());
+  };
+
   const all = new Subscription();
   all.add(store.start());
+  all.add(peers.start());
   all.add(owner.start());
   all.add(
     duty('types for users', log, async (signal) => {
@@ -56,8 +78,8 @@
   all.add(
     duty('contact', log, async (signal) => {
       while (!signal.aborted) {
-        if (millisSince(store.answeredAt) > 2500) await store.commit([], [], 1000);
-        await pause(1000, signal);
+        if (store.loaded && millisSince(store.freshAt) > 800) await store.fresh(1000);
+        await pause(500, signal);
       }
     }),
   );
@@ -66,7 +88,7 @@
       addr: p.api_addr,
       desk,
       log,
-      healthy: () => desk.ready && millisSince(store.answeredAt) < HEALTH_MS,
+      healthy,
       report: (r) => owner.term?.report(r) ?? null,
       ownerLabel: () => {
         const label = owner.ownerLabel();
--- a/src/edge/store.ts
+++ b/src/edge/store.ts
@@ -47,17 +47,21 @@
   readonly copy = new Map<string, Entry>();
   readonly changes = new Subject<Change>();
   rev = -1;
-  /** When a request that was later answered was sent, last. */
-  answeredAt = 0n;
   /** Least pause between two follows: each costs a request. The owner of a part follows more closely. */
   followGapMs = 250;
   private readonly client: Client;
   private readonly follower: Client;
   private readonly waiters: { rev: number; resolve: () => void }[] = [];
-  private readonly barrier = new SharedRead<number | null>(BARRIER_GAP_MS, async () => {
-    const r = await this.commit([], [], 1000);
-    return r.kind === 'ok' ? r.rev : null;
-  });
+  /** When a compare was sent, last, to whose revision the copy then came: so new the copy surely was. */
+  freshAt = 0n;
+  private readonly barrier = new SharedRead<{ rev: number; sent: bigint } | null>(
+    BARRIER_GAP_MS,
+    async () => {
+      const sent = steady();
+      const r = await this.commit([], [], 1000);
+      return r.kind === 'ok' ? { rev: r.rev, sent } : null;
+    },
+  );
   private refollow: AbortController | null = null;
 
   constructor(
@@ -77,20 +81,17 @@
   }
 
   async commit(guards: readonly Guard[], writes: readonly Write[], limitMs = REQUEST_MS): Promise<Committed> {
-    const sent = steady();
     const o = await this.client.request('POST', STORE_PATHS.commit, { guards, writes }, limitMs);
     if (o.kind === 'unsent') return { kind: 'refused', why: o.why };
     if (o.kind === 'unknown') return { kind: 'unknown', why: o.why };
     if (o.status === 200) {
       const r = schemas.revision.safeParse(o.body);
       if (!r.success) return { kind: 'unknown', why: 'answer without a revision' };
-      this.heard(sent);
       return { kind: 'ok', rev: r.data.ledgerRev };
     }
     if (o.status === 409) {
       const r = schemas.conflict.safeParse(o.body);
       if (!r.success) return { kind: 'unknown', why: 'conflict without keys' };
-      this.heard(sent);
       return { kind: 'conflict', failed: r.data.failed, rev: r.data.ledgerRev };
     }
     if (o.status === 429 || o.status === 503 || o.status === 400)
@@ -123,10 +124,11 @@
 
   /** A read that is as new as this call: true once the copy holds every change committed before it. */
   async fresh(limitMs: number): Promise<boolean> {
-    const rev = await this.barrier.ask();
-    if (rev === null) return false;
-    const ok = await this.reached(rev, limitMs);
-    this.log.debug({ asked: rev, copy: this.rev, ok }, 'fresh read');
+    const read = await this.barrier.ask();
+    if (read === null) return false;
+    const ok = await this.reached(read.rev, limitMs);
+    if (ok && read.sent > this.freshAt) this.freshAt = read.sent;
+    this.log.debug({ asked: read.rev, copy: this.rev, ok }, 'fresh read');
     return ok;
   }
 
@@ -152,10 +154,6 @@
     });
   }
 
-  private heard(sent: bigint): void {
-    if (sent > this.answeredAt) this.answeredAt = sent;
-  }
-
   private async follow(signal: AbortSignal): Promise<void> {
     await this.load(signal);
     let lastAt = 0n;
--- a/test/parts.test.ts
+++ b/test/parts.test.ts
@@ -5,6 +5,7 @@
 import { seconds, toSeconds } from '../src/core/time.js';
 import { DEFAULTS, parseKnobs } from '../src/edge/knobs.js';
 import { decode, encode } from '../src/wire/cbor.js';
+import { FrameReader, statusFrame } from '../src/wire/frames.js';
 import { headOf } from '../src/edge/reports.js';
 import { parseReport, parseSubmission } from '../src/wire/dialect.js';
 import { countsIn, pageKey, parseKey, readPage, writePage } from '../src/wire/records.js';
@@ -202,3 +203,23 @@
   ])
     assert.equal(headOf(Buffer.from(other), 100).kind, 'other', other.slice(0, 60));
 });
+
+test('frames between controllers: cut anywhere they come whole; what is no frame is refused', () => {
+  const status = { label: 'hearth-1', owner: true, contactMs: 1234, token: 2n ** 53n + 1n };
+  const raw = Buffer.concat([statusFrame(status), statusFrame({ ...status, owner: false, contactMs: null })]);
+  for (let n = 0; n <= raw.length; n++) {
+    const r = new FrameReader();
+    const got = [...r.push(raw.subarray(0, n)), ...r.push(raw.subarray(n))];
+    assert.deepEqual(got, [status, { ...status, owner: false, contactMs: null }]);
+  }
+  const later = Buffer.from(statusFrame(status));
+  later.writeUInt8(9, 2);
+  assert.deepEqual(new FrameReader().push(later), [], 'a version not known yet is passed over');
+  assert.throws(() => new FrameReader().push(Buffer.from('GET / HTTP/1.1\r\n')), /not a frame/);
+  const long = Buffer.from(statusFrame(status));
+  long.writeUInt16BE(60_000, 4);
+  assert.throws(() => new FrameReader().push(long), /too long/);
+  const lying = Buffer.from(statusFrame(status));
+  lying.writeUInt8(200, 19);
+  assert.throws(() => new FrameReader().push(lying), /too short/);
+});
