Fetches share bandwidth in the score, hardly begun tasks are stopped last, gangs' images come in step

Change: bandwidth is shared among an image and those under way (placement), waiting counts in what a stop loses, gangs are planned with images that come at about the same time, caches are bounded and remembered by bystanders.

--- a/src/core/gangs.ts
+++ b/src/core/gangs.ts
@@ -1,8 +1,8 @@
 import { chunkOf, place } from './jobs.js';
 import type { Intent, Job, Machine, Spec } from './model.js';
-import { fits, machineAllowed, pick, score, type Candidate, type Scored } from './placement.js';
+import { fits, imageDelay, machineAllowed, pick, score, type Candidate, type Scored } from './placement.js';
 import { add } from './preempt.js';
-import type { Steady } from './time.js';
+import { toSeconds, type Steady } from './time.js';
 import type { World } from './world.js';
 
 export type Steer = (w: World, job: Job, c: Candidate) => number;
@@ -27,17 +27,12 @@
     (c) => machineAllowed(spec, c.machine) && !job.failedOn.has(c.machine.name),
   );
   const zones = spec.oneZone ? [...new Set(allowed.map((c) => c.machine.zone))].sort() : [null];
-  let best: { plan: Machine[]; images: number } | null = null;
+  let best: { plan: Machine[]; last: number } | null = null;
   for (const zone of zones) {
-    const plan = planIn(
-      w,
-      job,
-      allowed.filter((c) => zone === null || c.machine.zone === zone),
-      steer,
-    );
-    if (plan === null) continue;
-    const images = plan.filter((m) => m.images.has(spec.image)).length;
-    if (best === null || images > best.images) best = { plan, images };
+    const open = allowed.filter((c) => zone === null || c.machine.zone === zone);
+    const plan = inStep(w, job, open, steer);
+    // The gang starts when its last image is there.
+    if (plan !== null && (best === null || plan.last < best.last)) best = plan;
   }
   if (best === null) return null;
   const attempt = nextAttempt(job);
@@ -47,6 +42,35 @@
   });
 }
 
+/** Share of the time that a gang's tasks wait for one another which their images may come apart. */
+const APART = 0.6;
+
+/**
+ * A plan whose images come at about the same time: a task with a cached image would give up before the others have
+ * fetched theirs, and the whole attempt with it. If there is none, any plan: what is fetched helps the next attempt.
+ */
+function inStep(
+  w: World,
+  job: Job,
+  open: readonly Candidate[],
+  steer: Steer,
+): { plan: Machine[]; last: number } | null {
+  const delays = new Map(open.map((c) => [c.machine, imageDelay(job.spec, c, w.knobs)]));
+  const lastOf = (plan: readonly Machine[]): number => Math.max(...plan.map((m) => delays.get(m) ?? 0));
+  const plan = planIn(w, job, open, steer);
+  if (plan === null) return null;
+  const last = lastOf(plan);
+  const apart = toSeconds(w.facts.gangWait) * APART;
+  if (plan.every((m) => last - (delays.get(m) ?? 0) <= apart)) return { plan, last };
+  const late = planIn(
+    w,
+    job,
+    open.filter((c) => last - (delays.get(c.machine) ?? 0) <= apart),
+    steer,
+  );
+  return late === null ? { plan, last } : { plan: late, last: lastOf(late) };
+}
+
 /** A machine with free room booked on a copy: nothing is taken unless the whole gang fits. */
 interface Trial {
   readonly at: Candidate;
@@ -59,7 +83,7 @@
   const one = (c: Candidate): number => steer(w, job, c);
   let trial: Trial[] = candidates.map((at) => ({
     at,
-    row: score(spec, { ...at, r: { ...at.r }, room: { ...at.room } }, w.knobs, one),
+    row: score(spec, { ...at, r: { ...at.r }, room: { ...at.room }, pulls: new Map(at.pulls) }, w.knobs, one),
   }));
   const inZone = new Map<string, number>();
   const plan: Machine[] = [];
@@ -76,6 +100,7 @@
     add(c.r, job, -1);
     add(c.room, job, -1);
     c.zeta += 1;
+    if (!c.machine.images.has(spec.image) && !c.pulls.has(spec.image)) c.pulls.set(spec.image, spec.imageGb);
     if (fits(spec, c.r) && fits(spec, c.room)) Object.assign(chosen, score(spec, c, w.knobs, one));
     else trial = trial.filter((x) => x.row !== chosen);
     inZone.set(c.machine.zone, (inZone.get(c.machine.zone) ?? 0) + 1);
--- a/src/core/jobs.ts
+++ b/src/core/jobs.ts
@@ -102,6 +102,7 @@
       doneWanted: false,
       failedOn: new Map(),
       failures: 0,
+      stops: 0,
       notBefore: 0n,
       free: new Set(),
       arrived: now.steady,
--- a/src/core/machines.ts
+++ b/src/core/machines.ts
@@ -117,8 +117,7 @@
     m.unheeded = 0;
     if (seen.state === 'running' && intent.runningSince === null) intent.runningSince = now.steady;
     if (intent.sentAt === null) intent.sentAt = 0;
-    if (seen.state !== 'fetching' && job !== undefined)
-      m.images.set(job.spec.image, { gb: job.spec.imageGb, used: now.steady });
+    if (seen.state !== 'fetching' && job !== undefined) useImage(w, m, job.spec, now.steady);
     return;
   }
   if (listed.has(runKey(intent.job, intent.task, intent.attempt))) return;
@@ -136,6 +135,27 @@
     endIntent(w, intent, false, `not there: ${intent.stopping.why}`, now.steady);
 }
 
+/** Notes that a machine has an image. What it caches is bounded: images that were used longest ago make way. */
+export function useImage(w: World, m: Machine, spec: Pick<Spec, 'image' | 'imageGb'>, now: Steady): void {
+  const known = m.images.get(spec.image);
+  if (known !== undefined) {
+    known.used = now;
+    return;
+  }
+  m.images.set(spec.image, { gb: spec.imageGb, used: now });
+  const room = w.types.get(m.type)?.cacheGb ?? Infinity;
+  let held = 0;
+  for (const i of m.images.values()) held += i.gb;
+  while (held > room && m.images.size > 1) {
+    let oldest: string | null = null;
+    let at = now + 1n;
+    for (const [name, i] of m.images) if (i.used < at) [oldest, at] = [name, i.used];
+    if (oldest === null) return;
+    held -= m.images.get(oldest)?.gb ?? 0;
+    m.images.delete(oldest);
+  }
+}
+
 function onExit(w: World, m: Machine, r: Report, t: SeenTask, now: Now): void {
   const intent = m.intents.get(taskKey(t.job, t.task));
   if (intent !== undefined && intent.attempt === t.attempt && intent.session === r.session) {
@@ -467,7 +487,7 @@
 }
 
 /** Machines asked in one go: after a takeover of a large fleet all of them would otherwise be called at once. */
-const FENCE_AT_ONCE = 25;
+const FENCE_AT_ONCE = 50;
 
 /**
  * Asks machines that have not shown this term's token to take it: it is raised before anything else is done. Most show
--- a/src/core/model.ts
+++ b/src/core/model.ts
@@ -105,6 +105,8 @@
   /** Machines on which tasks of this job failed, with how often. */
   readonly failedOn: Map<string, number>;
   failures: number;
+  /** How often its tasks were stopped for other work. */
+  stops: number;
   /** Not placed again before this moment (pauses after failures). */
   notBefore: Steady;
   /** Tasks known to have neither result nor place; kept in order. */
--- a/src/core/owner.ts
+++ b/src/core/owner.ts
@@ -10,6 +10,7 @@
   ordersFor,
   reapSilent,
   tidyForgets,
+  useImage,
   wantsHigherToken,
   freeOn,
   usable,
@@ -50,6 +51,10 @@
   | { readonly kind: 'renting'; readonly name: string; readonly order: RentOrder }
   | { readonly kind: 'rented'; readonly name: string; readonly machines: readonly string[] | null }
   | { readonly kind: 'returned'; readonly machines: readonly string[]; readonly ok: boolean }
+  | {
+      readonly kind: 'images';
+      readonly seen: readonly { readonly machine: string; readonly image: string; readonly gb: number }[];
+    }
   | { readonly kind: 'tick' };
 
 const SWEEP = seconds(0.4);
@@ -122,6 +127,13 @@
         if (event.ok) onReturned(w, event.machines, now);
         else for (const n of event.machines) this.unreturn(n);
         break;
+      case 'images':
+        // Not newer than anything a report has told since.
+        for (const s of event.seen) {
+          const m = machineOf(w, s.machine, now.steady);
+          if (!m.images.has(s.image)) useImage(w, m, { image: s.image, imageGb: s.gb }, w.began);
+        }
+        break;
       case 'tick':
         this.onTick(now);
         break;
--- a/src/core/pass.ts
+++ b/src/core/pass.ts
@@ -1,7 +1,7 @@
 import { placeGang } from './gangs.js';
 import { chunkOf, place, zonesTaken } from './jobs.js';
 import { usable, viewOf } from './machines.js';
-import type { Job, MachineType } from './model.js';
+import type { Job, Machine, MachineType } from './model.js';
 import {
   asksAtLeast,
   fits,
@@ -59,7 +59,7 @@
     const view = viewOf(w, m);
     const r = { ...view.r };
     const room = { ...view.room };
-    out.push({ machine: m, type, r, room, zeta: m.intents.size });
+    out.push({ machine: m, type, r, room, zeta: m.intents.size, pulls: pullsOn(w, m, type, now) });
   }
   return out;
 }
@@ -74,6 +74,19 @@
 export const passGap = (w: World): Span =>
   (seconds(1) / 4000n) * BigInt(Math.max(0, w.machines.size - SMALL));
 
+/** What a machine is fetching, by the places on it that wait for an image. */
+function pullsOn(w: World, m: Machine, type: MachineType, now: Now): Map<string, number> {
+  const pulls = new Map<string, number>();
+  for (const i of m.intents.values()) {
+    if (i.phase !== 'placed' && i.phase !== 'fetching') continue;
+    const job = w.jobs.get(i.job);
+    if (job === undefined || m.images.has(job.spec.image)) continue;
+    const rest = Math.max(0, job.spec.imageGb - toSeconds(now.steady - i.created) * type.fetchGbPerS);
+    pulls.set(job.spec.image, Math.min(pulls.get(job.spec.image) ?? Infinity, rest));
+  }
+  return pulls;
+}
+
 /** One round of placement over the waiting jobs. Jobs that do not fit wait a round, as in the paper. */
 export function pass(w: World, now: Now): Job[] {
   w.needPass = false;
@@ -115,6 +128,8 @@
   add(chosen.r, job, -1);
   add(chosen.room, job, -1);
   chosen.zeta += 1;
+  const { image, imageGb } = job.spec;
+  if (!chosen.machine.images.has(image) && !chosen.pulls.has(image)) chosen.pulls.set(image, imageGb);
 }
 
 /** The machines with room for a task of the job; none if a job that asks no more found none in this pass. */
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -20,6 +20,8 @@
   readonly room: Free;
   /** ζ_i: tasks held. */
   zeta: number;
+  /** Images being fetched there, by name, with the gigabytes that are at least still to come. */
+  readonly pulls: Map<string, number>;
 }
 
 const EPSILON = 1e-6;
@@ -38,12 +40,24 @@
   return zeta > 0 ? knobs.betaCs + 2 ** (zeta - 1) * knobs.betaRc : 0;
 }
 
+/**
+ * Seconds until the image is there: none for a cached one. Images fetched at the same time share the machine's
+ * bandwidth (ours; the paper's network delay takes the bandwidth that is free), and one that is under way already has
+ * only its rest to come.
+ */
+export function imageDelay(c: Spec, cand: Candidate, knobs: Knobs): number {
+  if (cand.machine.images.has(c.image)) return 0;
+  const bandwidth = Math.max(knobs.bandwidth ?? cand.type.fetchGbPerS, EPSILON);
+  const rest = cand.pulls.get(c.image);
+  const sharers = cand.pulls.size + (rest === undefined ? 1 : 0);
+  return ((rest ?? c.imageGb) * sharers) / bandwidth;
+}
+
 /** Ω in seconds for running `c` on the candidate. */
 export function omega(c: Spec, cand: Candidate, knobs: Knobs): number {
   const granted = grantedCpu(c.cpus, cand.r.cpus, knobs.phi);
   const processing = granted > 0 ? (toSeconds(c.estimate) * c.cpus) / granted : toSeconds(c.estimate);
-  const bandwidth = knobs.bandwidth ?? cand.type.fetchGbPerS;
-  const network = cand.machine.images.has(c.image) ? 0 : c.imageGb / Math.max(bandwidth, EPSILON);
+  const network = imageDelay(c, cand, knobs);
   return knobs.alpha * processing + (1 - knobs.alpha) * network + contention(cand.zeta, knobs);
 }
 
--- a/src/core/preempt.ts
+++ b/src/core/preempt.ts
@@ -1,6 +1,14 @@
 import { intentsOf, stopIntent, zonesTaken } from './jobs.js';
 import { rank, type Intent, type Job, type Machine } from './model.js';
-import { fits, machineAllowed, zoneAllowed, type Candidate, type Free, type Shape } from './placement.js';
+import {
+  fits,
+  imageDelay,
+  machineAllowed,
+  zoneAllowed,
+  type Candidate,
+  type Free,
+  type Shape,
+} from './placement.js';
 import { toSeconds, wallSeconds, type Now } from './time.js';
 import { note, type World } from './world.js';
 
@@ -71,13 +79,21 @@
   return rank(victim.spec.priority) < rank(job.spec.priority) || victim.spec.team !== job.spec.team;
 }
 
-/** Work lost if the task were stopped now, weighed by its size; saved work counts as its saving time only. */
+/** Until a task has run so long, stopping it undoes a start that its user has waited for. */
+const SETTLED_S = 30;
+
+/**
+ * What is lost if the task were stopped now, weighed by its size: its work, or, where that is saved, the time of
+ * saving. A task that is still fetching or has hardly begun loses all its waiting too. Without that it looked the
+ * cheapest, and the same job was stopped again and again before it ever ran.
+ */
 function lost(i: Intent, job: Job, now: Now): number {
   const ran = i.runningSince === null ? 0 : toSeconds(now.steady - i.runningSince);
   const each = Math.max(job.spec.gpus, job.spec.cpus / 16);
   const size = job.spec.kind === 'gang' ? job.spec.tasks : 1;
-  const cost = job.spec.checkpoint > 0n ? Math.min(ran, toSeconds(job.spec.save)) : ran;
-  return (level(job) * 10_000 + cost + 1) * each * size;
+  const work = job.spec.checkpoint > 0n ? Math.min(ran, toSeconds(job.spec.save)) : ran;
+  const waited = ran < SETTLED_S ? toSeconds(now.steady - i.created) + SETTLED_S : 0;
+  return (level(job) * 10_000 + work + waited + job.stops * SETTLED_S + 1) * each * size;
 }
 
 export function graceFor(job: Job): number {
@@ -193,10 +209,7 @@
 function offerWithFetch(w: World, job: Job, c: Candidate, used: ReadonlySet<Intent>, now: Now): Offer | null {
   const offer = offerOf(w, job, c, used, now);
   if (offer === null) return null;
-  const fetch = c.machine.images.has(job.spec.image)
-    ? 0
-    : job.spec.imageGb / Math.max(c.type.fetchGbPerS, 1e-6);
-  return { ...offer, cost: offer.cost + fetch * FETCH_WEIGHT };
+  return { ...offer, cost: offer.cost + imageDelay(job.spec, c, w.knobs) * FETCH_WEIGHT };
 }
 
 function book(w: World, job: Job, o: Offer, sign: 1 | -1): void {
@@ -226,6 +239,7 @@
   const hasty =
     job.spec.kind === 'array' && by.spec.priority === 'production' && hasteOf(w, by, now) < graceFor(job);
   const grace = hasty ? 0 : graceFor(job);
+  job.stops += 1;
   if (job.spec.kind === 'gang')
     for (const other of intentsOf(job)) stopIntent(w, other, grace, 'preempted', now.steady);
   else stopIntent(w, i, grace, 'preempted', now.steady);
--- /dev/null
+++ b/src/edge/images.ts
@@ -0,0 +1,75 @@
+import type { Subscription } from 'rxjs';
+import { jobKey, parseKey, readJob, readPage } from '../wire/records.js';
+import { millisSince, steady } from './clock.js';
+import { messageOf } from './duty.js';
+import type { Log } from './log.js';
+import type { Store } from './store.js';
+
+export interface ImageSeen {
+  readonly machine: string;
+  readonly image: string;
+  readonly gb: number;
+}
+
+/** A place that has stood so long on a machine has its image, at the slowest fetch that is likely. */
+const fetchedAfterMs = (gb: number, gbPerS: number): number => 2000 + (1500 * gb) / gbPerS;
+const FORGET_MS = 20 * 60_000;
+const MOST_MACHINES = 4000;
+
+/**
+ * Which machines have had which images, as the followed pages show it. Reports tell an owner only the images of what
+ * runs now; a new owner would otherwise send work away from machines whose caches hold what it needs. It only steers
+ * the choice of a place: what is wrong here costs a fetch.
+ */
+export class ImagesSeen {
+  private readonly byMachine = new Map<string, Map<string, { gb: number; first: bigint; last: bigint }>>();
+
+  constructor(
+    private readonly store: Store,
+    private readonly log: Log,
+  ) {}
+
+  start(): Subscription {
+    return this.store.changes.subscribe((c) => {
+      if (c.entry === null || parseKey(c.key).kind !== 'page') return;
+      try {
+        this.take(c.entry.value);
+      } catch (e) {
+        this.log.warn({ key: c.key, error: messageOf(e) }, 'a page cannot be read');
+      }
+    });
+  }
+
+  /** What is likely cached now, given how fast machines fetch. */
+  likely(gbPerS: number): ImageSeen[] {
+    const out: ImageSeen[] = [];
+    for (const [machine, images] of this.byMachine)
+      for (const [image, s] of images)
+        if (Number(s.last - s.first) / 1e6 >= fetchedAfterMs(s.gb, gbPerS) && millisSince(s.last) < FORGET_MS)
+          out.push({ machine, image, gb: s.gb });
+    return out;
+  }
+
+  private take(page: unknown): void {
+    const now = steady();
+    for (const e of readPage(page)) {
+      if (e.image.intents.length === 0) continue;
+      const job = this.store.copy.get(jobKey(e.job));
+      if (job === undefined) continue;
+      const { image, imageGb } = readJob(job.value).spec;
+      for (const i of e.image.intents) {
+        let images = this.byMachine.get(i.machine);
+        if (images === undefined) {
+          // Names come in the order of creation: the first are the oldest and most likely gone.
+          if (this.byMachine.size >= MOST_MACHINES)
+            this.byMachine.delete(this.byMachine.keys().next().value ?? '');
+          images = new Map();
+          this.byMachine.set(i.machine, images);
+        }
+        const seen = images.get(image);
+        if (seen === undefined) images.set(image, { gb: imageGb, first: now, last: now });
+        else seen.last = now;
+      }
+    }
+  }
+}
--- a/src/edge/ownership.ts
+++ b/src/edge/ownership.ts
@@ -5,6 +5,7 @@
 import { steady } from './clock.js';
 import type { Cloud } from './cloud.js';
 import { Wake, duty, messageOf } from './duty.js';
+import type { ImagesSeen } from './images.js';
 import { jittered } from './jitter.js';
 import type { Log } from './log.js';
 import type { Store } from './store.js';
@@ -27,6 +28,7 @@
     private readonly cloud: Cloud,
     private readonly log: Log,
     private readonly writeRps: number,
+    private readonly images: ImagesSeen,
   ) {
     this.record = { label, incarnation };
   }
@@ -104,6 +106,7 @@
         cloud: this.cloud,
         log: this.log,
         writeRps: this.writeRps,
+        images: this.images,
         onAbdicate: () => {
           this.restsUntil = steady() + REST;
         },
--- a/src/edge/service.ts
+++ b/src/edge/service.ts
@@ -5,6 +5,7 @@
 import { Cloud } from './cloud.js';
 import { Desk } from './desk.js';
 import { duty, messageOf, pause } from './duty.js';
+import { ImagesSeen } from './images.js';
 import { jittered } from './jitter.js';
 import type { Log } from './log.js';
 import { Ownership } from './ownership.js';
@@ -31,6 +32,7 @@
   const cloud = new Cloud(p.external.cloud, p.facts.cloud.rps);
   const desk = new Desk(store, facts.teams, log);
   const incarnation = `${p.label}-${new Date().getTime()}-${steady()}`;
+  const images = new ImagesSeen(store, log);
   const owner = new Ownership(
     PART,
     p.label,
@@ -41,6 +43,7 @@
     cloud,
     log,
     p.facts.state.write_rps,
+    images,
   );
 
   const peers = new Peers(
@@ -62,6 +65,7 @@
   };
 
   const all = new Subscription();
+  all.add(images.start());
   all.add(store.start());
   all.add(peers.start());
   all.add(owner.start());
--- a/src/edge/term.ts
+++ b/src/edge/term.ts
@@ -1,7 +1,7 @@
 import { setMaxListeners } from 'node:events';
 import { Subscription, interval } from 'rxjs';
 import { Owner, type Event } from '../core/owner.js';
-import type { Facts, Knobs, Report } from '../core/model.js';
+import type { Facts, Knobs, MachineType, Report } from '../core/model.js';
 import { mayAnswer, othersQuietFrom } from '../core/parts.js';
 import type { Transaction } from '../core/outbox.js';
 import type { Effect, Order, RentOrder } from '../core/world.js';
@@ -19,6 +19,7 @@
 import { now, steady } from './clock.js';
 import type { Cloud } from './cloud.js';
 import { Allowance, Wake, duty, messageOf, pause } from './duty.js';
+import type { ImagesSeen } from './images.js';
 import { jittered } from './jitter.js';
 import type { Log } from './log.js';
 import type { Change, Guard, Store, Write } from './store.js';
@@ -33,6 +34,7 @@
   readonly cloud: Cloud;
   readonly log: Log;
   readonly writeRps: number;
+  readonly images: ImagesSeen;
   readonly onEnd: (why: string) => void;
   /** The part was given up for another controller to take. */
   readonly onAbdicate: () => void;
@@ -63,6 +65,7 @@
   private usersRate = 0;
   private raise: string | null = null;
   private over = false;
+  private imagesTold = false;
   private readonly stop = new AbortController();
 
   constructor(
@@ -351,11 +354,21 @@
     }
   }
 
+  /** What this controller saw as a bystander: once, as soon as it is known how fast machines fetch. */
+  private tellImages(types: readonly MachineType[]): void {
+    this.imagesTold = true;
+    const rates = types.map((t) => t.fetchGbPerS).filter((r) => r > 0);
+    if (rates.length > 0) this.event({ kind: 'images', seen: this.p.images.likely(Math.min(...rates)) });
+  }
+
   private async pollTypes(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       const types = await this.p.cloud.types(signal);
       if (signal.aborted) return;
-      if (types !== null) this.event({ kind: 'types', types });
+      if (types !== null) {
+        this.event({ kind: 'types', types });
+        if (!this.imagesTold) this.tellImages(types);
+      }
       await pause(types === null ? jittered(1000) : 60_000, signal);
     }
   }
