--- a/src/edge/ownership.ts
+++ b/src/edge/ownership.ts
@@ -58,7 +58,7 @@
     while (!signal.aborted) {
       if (this.current === null && this.store.loaded && steady() >= this.restsUntil) {
         try {
-          await this.attempt();
+          await this.attempt(signal);
         } catch (e) {
           this.log.warn({ error: messageOf(e) }, 'taking the part failed');
         }
@@ -67,7 +67,7 @@
     }
   }
 
-  private async attempt(): Promise<void> {
+  private async attempt(signal: AbortSignal): Promise<void> {
     const key = partKey(this.part);
     const known = this.store.copy.get(key);
     if (known !== undefined) {
@@ -78,11 +78,13 @@
     }
     const ttlMs = this.holdMs();
     const permit = await this.store.hold(ttlMs);
-    if (permit === null) return;
+    if (permit === null || signal.aborted) return;
     const r = await this.store.commit(
       [{ key, stamp: known?.stamp ?? 0 }],
       [{ write: key, value: this.record, permit }],
     );
+    // Stopped meanwhile: nobody would end a term that begins now. The hold runs out by itself.
+    if (signal.aborted) return;
     if (r.kind !== 'ok') {
       // Whatever became of it, the key must not stay with a hold that nobody renews.
       await this.store.drop(permit);
@@ -92,6 +94,7 @@
       await this.store.drop(permit);
       return;
     }
+    if (signal.aborted) return;
     this.begin(r.rev, permit, ttlMs);
   }
 
--- a/test/standins/state.ts
+++ b/test/standins/state.ts
@@ -12,6 +12,10 @@
   down = false;
   rev = 0;
   readonly items = new Map<string, Item>();
+  /** Every transaction that came, for sending copies of it later. */
+  readonly commits: Record<string, unknown>[] = [];
+  /** What becomes of a transaction: `lost` is carried out without an answer, `late` only after a while. */
+  fate: (body: Record<string, unknown>) => 'lost' | 'late' | null = () => null;
   private readonly holds = new Map<number, { ttl: number; timer: NodeJS.Timeout }>();
   private readonly news: { key: string; value: unknown; stamp: number; gone: boolean }[] = [];
   private readonly waiting = new Set<() => void>();
@@ -34,7 +38,14 @@
   private answer(method: string, url: URL, body: Record<string, unknown>): Reply | Promise<Reply> {
     if (url.pathname === '/follow') return this.follow(url);
     if (this.down) return { status: 503, body: { error: 'trouble' } };
-    if (url.pathname === '/commit') return this.commit(body);
+    if (url.pathname === '/commit') {
+      this.commits.push(body);
+      const fate = this.fate(body);
+      if (fate === null) return this.commit(body);
+      if (fate === 'lost') this.commit(body);
+      else setTimeout(() => this.commit(body), 400).unref();
+      return { status: 504, body: {} };
+    }
     if (url.pathname === '/store') return this.list(url);
     if (url.pathname === '/holds') return this.hold(body['ttlMs'] as number);
     const touch = /^\/holds\/(\d+)\/touch$/.exec(url.pathname);
@@ -54,7 +65,7 @@
     return { status: 200, body: { items, hasNext: keys.length > 3, ledgerRev: this.rev } };
   }
 
-  private commit(body: Record<string, unknown>): Reply {
+  commit(body: Record<string, unknown>): Reply {
     const guards = body['guards'] as { key: string; stamp: number }[];
     const writes = body['writes'] as { write?: string; delete?: string; value?: unknown; permit?: number }[];
     const tooLarge = writes.some((w) => JSON.stringify(w.value ?? null).length > this.limits.valueBytes);
