--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -1,7 +1,7 @@
 import { zonesTaken } from './jobs.js';
 import { freeOn, leaseEnd, usable, viewOf } from './machines.js';
 import type { Job, Machine, MachineType } from './model.js';
-import { estimateOf, wantedBy } from './pass.js';
+import { NO_ROOM, NO_ROOM_FOR_ALL, ROOM_IS_MADE, estimateOf, wantedBy } from './pass.js';
 import { fits, zoneAllowed, type Free } from './placement.js';
 import { manySilent } from './suspicion.js';
 import { seconds, toSeconds, type Now } from './time.js';
@@ -32,13 +32,18 @@
     (a, b) => b.held - a.held || a.price - b.price || b.used - a.used || (a.m.name < b.m.name ? -1 : 1),
   );
   const want = inUse + Math.max(spareFor(inUse, w.knobs.reserve), 1);
+  // Only work that lacks room is a reason to keep machines: one job that waits for something else kept a whole fleet.
+  const short = blocked.some((job) => lacksRoom(job));
   let kept = 0;
   for (const row of rows) {
-    row.m.closed = blocked.length === 0 && kept >= want;
+    row.m.closed = !short && kept >= want;
     kept += 1;
   }
 }
 
+const lacksRoom = (job: Job): boolean =>
+  job.waitReason === NO_ROOM || job.waitReason === NO_ROOM_FOR_ALL || job.waitReason === ROOM_IS_MADE;
+
 /** Up to so many machines in use the reserve is a fixed share of them. */
 const RESERVE_FULL = 30;
 const RESERVE_EXPONENT = 0.65;
--- a/src/core/jobs.ts
+++ b/src/core/jobs.ts
@@ -298,6 +298,22 @@
     if (chunk.version > chunk.committed && chunk.page !== null) w.urgent.add(chunk.page.id);
 }
 
+/**
+ * A gang's tasks complete together: once one is done, all are, also one whose machine never came to tell it. Without
+ * this a gang whose last member was lost with its machine waited for ever, neither done nor placed again.
+ */
+export function finishGang(w: World, job: Job, now: Steady): void {
+  for (const task of [...job.free]) {
+    const chunk = chunkOf(job, task);
+    job.free.delete(task);
+    chunk.done.add(task);
+    job.doneCount += 1;
+    touch(w, job, chunk, true, now);
+  }
+  w.waiting.delete(job.spec.id);
+  if (job.doneCount === job.spec.tasks) wantDone(w, job, now);
+}
+
 /** An intent of this term whose `run` never left can be ended at once: nobody else could have sent it. */
 export const neverSent = (w: World, i: Intent): boolean => i.sentAt === null && !mayArrive(w, i);
 
--- a/src/core/owner.ts
+++ b/src/core/owner.ts
@@ -15,7 +15,7 @@
   freeOn,
   usable,
 } from './machines.js';
-import type { Facts, Intent, JobRecord, Knobs, Listed, MachineType, Report } from './model.js';
+import type { Facts, Intent, Job, JobRecord, Knobs, Listed, MachineType, Report } from './model.js';
 import { nextTransaction, settled, type Transaction } from './outbox.js';
 import type { PageEntry } from './pages.js';
 import { mayStart } from './parts.js';
@@ -231,11 +231,24 @@
       }
     }
     let tasks = 0;
-    for (const id of w.waiting) tasks += w.jobs.get(id)?.free.size ?? 0;
+    let longest: Job | null = null;
+    for (const id of w.waiting) {
+      const job = w.jobs.get(id);
+      if (job === undefined) continue;
+      tasks += job.free.size;
+      if (longest === null || job.submitted < longest.submitted) longest = job;
+    }
     note(
       w,
       'survey',
-      { ...count, booting: w.booting.size, freeGpus: free, waitingJobs: w.waiting.size, waitingTasks: tasks },
+      {
+        ...count,
+        booting: w.booting.size,
+        freeGpus: free,
+        waitingJobs: w.waiting.size,
+        waitingTasks: tasks,
+        ...(longest === null ? {} : { longest: longest.spec.id, because: longest.waitReason }),
+      },
       'info',
     );
   }
--- a/src/core/pass.ts
+++ b/src/core/pass.ts
@@ -1,5 +1,5 @@
 import { placeGang } from './gangs.js';
-import { chunkOf, place, zonesTaken } from './jobs.js';
+import { chunkOf, finishGang, place, zonesTaken } from './jobs.js';
 import { usable, viewOf } from './machines.js';
 import type { Job, Machine, MachineType } from './model.js';
 import {
@@ -16,6 +16,10 @@
 import { seconds, toSeconds, wallSeconds, type Now, type Span } from './time.js';
 import { note, type World } from './world.js';
 
+export const NO_ROOM = 'no room';
+export const NO_ROOM_FOR_ALL = 'no room for all tasks at once';
+export const ROOM_IS_MADE = 'room beside the cached image is being made';
+
 /** When a job should have started, by the objectives of its class, or else by its own due time. */
 export function wantedBy(w: World, job: Job): number {
   let within = Infinity;
@@ -155,7 +159,7 @@
   if (fitting.length > 0 && board.open.length >= LEFT_WHOLE * 8 && patient(w, job, now))
     leaveWhole(fitting, board.open);
   if (fitting.length === 0) {
-    job.waitReason = 'no room';
+    job.waitReason = NO_ROOM;
     return;
   }
   const taken = zonesTaken(job);
@@ -179,12 +183,12 @@
       !choice.some((s) => s.cand.machine.images.has(job.spec.image)) &&
       makeRoom(w, job, board, now, true)
     ) {
-      job.waitReason = 'room beside the cached image is being made';
+      job.waitReason = ROOM_IS_MADE;
       return;
     }
     const chosen = pick(choice, w.knobs);
     if (chosen === null) {
-      job.waitReason = rows.length === 0 ? 'no room' : 'zone rules';
+      job.waitReason = rows.length === 0 ? NO_ROOM : 'zone rules';
       return;
     }
     const { cand } = chosen;
@@ -280,6 +284,7 @@
 }
 
 function passGang(w: World, job: Job, board: Board, now: Now): void {
+  if (job.doneCount > 0) return finishGang(w, job, now.steady);
   if (job.placedCount > 0 || job.free.size !== job.spec.tasks) {
     job.waitReason = 'tasks of the last attempt are not all gone';
     return;
@@ -294,7 +299,7 @@
     placeGang(w, job, kept, now.steady, steer) ??
     (kept.length < fitting.length ? placeGang(w, job, fitting, now.steady, steer) : null);
   if (placed === null) {
-    job.waitReason = 'no room for all tasks at once';
+    job.waitReason = NO_ROOM_FOR_ALL;
     if (job.failedOn.size > 0 && now.steady - job.arrived > seconds(30)) job.failedOn.clear();
     return;
   }
--- a/src/core/suspicion.ts
+++ b/src/core/suspicion.ts
@@ -42,10 +42,9 @@
  */
 export function returnSilent(w: World, now: Now): string[] {
   const after = suspectAfter(w);
-  if (now.steady - w.began < w.facts.lease) return [];
+  const out = unheard(w, now);
+  if (now.steady - w.began < after + w.facts.report * 2n || manySilent(w, now)) return out;
   const silent = known(w).filter((m) => m.session > m.deadSession && now.steady - m.heard > after);
-  if (manySilent(w, now)) return [];
-  const out: string[] = [];
   for (const m of silent) {
     if (!holdsReplica(w, m)) continue;
     if (now.steady - m.heard > after + LAST_WORD) out.push(m.name);
@@ -54,6 +53,24 @@
   return out;
 }
 
+/**
+ * Machines with recorded replicas that this owner never heard, while it heard nearly all others with work. An earlier
+ * owner may have answered them until shortly before it ended and long after, so their leases prove nothing for most of
+ * a minute; a machine that is cut off around a takeover would leave its users without replicas for all that time.
+ */
+function unheard(w: World, now: Now): string[] {
+  if (now.steady - w.began < suspectAfter(w) + w.facts.report * 2n) return [];
+  let working = 0;
+  const never: Machine[] = [];
+  for (const m of w.machines.values()) {
+    if (m.intents.size === 0) continue;
+    working += 1;
+    if (m.heard === 0n && !m.returning) never.push(m);
+  }
+  if (never.length > Math.max(1, working / 5)) return [];
+  return never.filter((m) => holdsReplica(w, m)).map((m) => m.name);
+}
+
 const PROBE = seconds(3);
 
 /** A machine that nothing reaches is asked directly now and then: an answer shows that it can be reached again. */
