--- a/src/core/machines.ts
+++ b/src/core/machines.ts
@@ -437,7 +437,7 @@
   return { r, room };
 }
 
-export function onList(w: World, list: readonly Listed[], now: Now): void {
+export function onList(w: World, list: readonly Listed[], sent: Steady, now: Now): void {
   const names = new Set<string>();
   w.listSeen = true;
   for (const l of list) {
@@ -459,7 +459,9 @@
   // The list lags and may go back in time: only what has long been missing and silent is dropped.
   const long = w.facts.listLag * 6n;
   for (const m of [...w.machines.values()]) {
-    if (names.has(m.name) || m.intents.size > 0) continue;
+    if (names.has(m.name)) continue;
+    if (m.intents.size > 0) unlisted(w, m, sent, now);
+    if (m.intents.size > 0) continue;
     const last = [m.heard, m.listedAt ?? 0n, m.firstKnown].reduce((a, b) => (a > b ? a : b));
     if (now.steady - last > long && now.steady > leaseEnd(w, m)) {
       w.machines.delete(m.name);
@@ -471,6 +473,24 @@
   }
 }
 
+/**
+ * A list describes a moment at most twice its lag before it was asked for, and holds every machine that was there then
+ * and had been for so long. A machine that reported, or had a place recorded, before that moment and is not listed is
+ * gone with all it held: taken back, or deleted. Without this proof the tasks of spot machines that were taken just
+ * before a takeover waited for leases that an earlier owner might have renewed, and again after each further one.
+ */
+function unlisted(w: World, m: Machine, sent: Steady, now: Now): void {
+  const existed = m.heard > 0n ? m.heard : w.began;
+  if (sent < existed + (w.facts.listLag * 5n) / 2n + seconds(2)) return;
+  note(w, 'not listed any more: gone', { machine: m.name, tasks: m.intents.size }, 'info');
+  for (const i of m.intents.values()) m.deadSession = Math.max(m.deadSession, i.session);
+  m.deadSession = Math.max(m.deadSession, m.session);
+  for (const i of [...m.intents.values()]) endIntent(w, i, false, 'machine gone', now.steady);
+  m.seen.clear();
+  m.strays = false;
+  m.view = null;
+}
+
 /** The cloud has answered: these machines and all they held are gone. */
 export function onReturned(w: World, names: readonly string[], now: Now): void {
   for (const name of names) {
--- a/src/core/owner.ts
+++ b/src/core/owner.ts
@@ -47,7 +47,8 @@
   | { readonly kind: 'contact'; readonly at: Steady }
   | { readonly kind: 'raised'; readonly token: number }
   | { readonly kind: 'types'; readonly types: readonly MachineType[] }
-  | { readonly kind: 'list'; readonly machines: readonly Listed[] }
+  /** A whole list of the cloud's, and when the first request for it was sent. */
+  | { readonly kind: 'list'; readonly machines: readonly Listed[]; readonly sent: Steady }
   | { readonly kind: 'renting'; readonly name: string; readonly order: RentOrder }
   | { readonly kind: 'rented'; readonly name: string; readonly machines: readonly string[] | null }
   | { readonly kind: 'returned'; readonly machines: readonly string[]; readonly ok: boolean }
@@ -115,7 +116,7 @@
         w.needPass = true;
         break;
       case 'list':
-        onList(w, event.machines, now);
+        onList(w, event.machines, event.sent, now);
         break;
       case 'renting':
         w.renting.set(event.name, { order: event.order, since: now.steady });
--- a/src/core/pass.ts
+++ b/src/core/pass.ts
@@ -235,17 +235,21 @@
 }
 
 /**
- * Equally good machines: work that may run on spot machines goes there, and replicas go where replicas are, so that
- * the dear machines that only they need stay few. While some work needs most of a machine, small tasks go beside
+ * Equally good machines: work that may run on spot machines goes there, and replicas go where most replicas are, so
+ * that the dear machines that only they need stay few, but not where one of their own job is. While some work needs most of a machine, small tasks go beside
  * others and leave whole machines free.
  */
 export function steer(w: World, job: Job, c: Candidate): number {
   const breaks = c.zeta === 0 && w.wholeNeeded && !takesMost(job, c.type) ? 1 : 0;
   if (job.spec.spot) return (c.machine.spot ? 0 : 2) + breaks;
   if (job.spec.kind !== 'service') return breaks;
-  for (const i of c.machine.intents.values())
-    if (i.job !== job.spec.id && w.jobs.get(i.job)?.spec.kind === 'service') return 0;
-  return 1;
+  let mates = 0;
+  for (const i of c.machine.intents.values()) {
+    // Two replicas of one service on a machine are lost together.
+    if (i.job === job.spec.id) return 2;
+    if (w.jobs.get(i.job)?.spec.kind === 'service') mates += 1;
+  }
+  return 1 / (1 + mates);
 }
 
 /** Whether two tasks of the job do not fit one machine of the type. */
--- a/src/edge/term.ts
+++ b/src/edge/term.ts
@@ -347,9 +347,10 @@
   private async pollList(signal: AbortSignal): Promise<void> {
     const every = Math.max(2000, Number(this.p.facts.listLag) / 1e6);
     while (!signal.aborted) {
+      const sent = steady();
       const machines = await this.p.cloud.list(signal);
       if (signal.aborted) return;
-      if (machines !== null) this.event({ kind: 'list', machines });
+      if (machines !== null) this.event({ kind: 'list', machines, sent });
       await pause(machines === null ? jittered(1000) : every, signal);
     }
   }
--- a/test/player.ts
+++ b/test/player.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { Owner, type Event } from '../src/core/owner.js';
-import type { Facts, JobRecord, MachineType, Report, SeenTask, Spec } from '../src/core/model.js';
+import type { Facts, JobRecord, Listed, MachineType, Report, SeenTask, Spec } from '../src/core/model.js';
 import type { Transaction } from '../src/core/outbox.js';
 import { othersQuietFrom } from '../src/core/parts.js';
 import { seconds, type Now } from '../src/core/time.js';
@@ -173,6 +173,13 @@
       case 'raised':
         this.event({ kind: 'raised', token: Number(name) });
         break;
+      case 'list':
+        this.event({
+          kind: 'list',
+          machines: bare.map(listedOf),
+          sent: seconds(1000 + num(args['sent'], this.at)),
+        });
+        break;
       case 'returned':
         this.event({ kind: 'returned', machines: [name], ok: true });
         break;
@@ -290,6 +297,16 @@
   }
 }
 
+const listedOf = (name: string): Listed => ({
+  name,
+  endpoint: `${name}:1`,
+  type: 'big',
+  zone: 'east',
+  spot: false,
+  state: 'running',
+  age: seconds(60),
+});
+
 function orderText(o: Order): string {
   const grace = o.op === 'stop' ? ` grace=${o.grace ?? 0}` : '';
   return `${o.op} ${o.job}/${o.task}#${o.attempt}${grace}`;
