--- a/src/core/jobs.ts
+++ b/src/core/jobs.ts
@@ -166,6 +166,7 @@
       stopping: null,
       // It may have been sent by an earlier owner: only proof ends it.
       sentAt: 0,
+      sentTime: null,
       runningSince: null,
     };
     chunk.intents.set(i.task, intent);
@@ -240,6 +241,7 @@
     phase: 'placed',
     stopping: null,
     sentAt: null,
+    sentTime: null,
     runningSince: null,
   };
   chunk.intents.set(task, intent);
--- a/src/core/machines.ts
+++ b/src/core/machines.ts
@@ -264,6 +264,7 @@
         });
     } else if (!there && startable(w, m, i, now.steady)) {
       i.sentAt = m.seq;
+      i.sentTime ??= now.steady;
       orders.push({ op: 'start', job: i.job, task: i.task, attempt: i.attempt });
     }
   }
@@ -333,7 +334,32 @@
   if (job.spec.kind === 'gang')
     for (const chunk of job.chunks.values())
       for (const other of chunk.intents.values()) if (!isCommitted(job, other)) return false;
-  return true;
+  return job.spec.kind !== 'gang' || inStep(w, job, m, i, now);
+}
+
+/** Share of the time that a gang's tasks wait for one another which is planned with; fetches take a third more or less. */
+const STEP = 0.4;
+
+/**
+ * Whether a gang's task should go off now: one whose image is there would wait for those that still fetch, give up
+ * after a while and take the whole attempt with it. The slowest go first; what is late for any reason holds nobody up
+ * for longer than its fetch should take.
+ */
+function inStep(w: World, job: Job, m: Machine, i: Intent, now: Steady): boolean {
+  const fetch = (at: Machine | undefined): number => {
+    if (at === undefined || at.images.has(job.spec.image)) return 0;
+    const rate = w.types.get(at.type)?.fetchGbPerS ?? 0;
+    return rate > 0 ? job.spec.imageGb / rate : 0;
+  };
+  const own = fetch(m);
+  let last = 0;
+  for (const chunk of job.chunks.values())
+    for (const other of chunk.intents.values()) {
+      if (other === i || (other.phase !== 'placed' && other.phase !== 'fetching')) continue;
+      const passed = other.sentTime === null ? 0 : toSeconds(now - other.sentTime);
+      last = Math.max(last, fetch(w.machines.get(other.machine)) - passed);
+    }
+  return own >= last - toSeconds(w.facts.gangWait) * STEP;
 }
 
 /** Sends the `run`s that a commit made allowed, straight to the machines. */
@@ -354,6 +380,7 @@
       const key = runKey(i.job, i.task, i.attempt);
       flying.set(key, (flying.get(key) ?? 0) + 1);
       i.sentAt = 0;
+      i.sentTime ??= now.steady;
     }
     w.effects.push({
       kind: 'direct',
--- a/src/core/model.ts
+++ b/src/core/model.ts
@@ -57,6 +57,8 @@
   stopping: { readonly grace: number; readonly why: string; readonly since: Steady } | null;
   /** Sequence number of the report whose response last carried the `run`; null if none did. */
   sentAt: number | null;
+  /** When the `run` was first sent in this term. */
+  sentTime: Steady | null;
   runningSince: Steady | null;
 }
 
--- a/test/player.ts
+++ b/test/player.ts
@@ -201,6 +201,7 @@
       checkpoint: seconds(num(a['checkpoint'], 0)),
       save: seconds(num(a['save'], 0)),
       image: a['image'] ?? 'img',
+      imageGb: num(a['gb'], 2),
     });
     const record: JobRecord = { spec: s, submitted: this.now().wall, standing: 'open' };
     this.event({ kind: 'job', id, record, stamp: ++this.stamp });
