--- a/test/election.test.ts
+++ b/test/election.test.ts
@@ -67,6 +67,9 @@
     const rev = state.rev;
     for (const b of before) if ((b as unknown as Body).writes.length > 0) state.commit(b);
     assert.equal(state.rev, rev, 'a late copy changed something');
+    // The earlier process's hold ends, by itself or by a late request of its own: the new owner's key is not on it.
+    state.end(1);
+    assert.equal(state.rev, rev, "the earlier process's hold still kept a key");
     assert.deepEqual(watch.broken, []);
     controller.unsubscribe();
   });
