--- a/test/standins/http.ts
+++ b/test/standins/http.ts
@@ -39,20 +39,24 @@
   method: string,
   path: string,
   body?: unknown,
+  /** Connections that are kept; without, each request has its own. */
+  agent: http.Agent | false = false,
 ): Promise<{ status: number; body: Record<string, unknown>; retryAfter: string | undefined }> {
   return new Promise((resolve, reject) => {
     const [host, port] = addr.split(':');
-    const req = http.request({ host, port, method, path, agent: false }, (res) => {
+    const raw = body === undefined ? null : Buffer.isBuffer(body) ? body : encode(body);
+    const headers = raw === null ? {} : { 'content-length': raw.length };
+    const req = http.request({ host, port, method, path, agent, headers }, (res) => {
       const parts: Buffer[] = [];
       res.on('data', (d: Buffer) => parts.push(d));
       res.on('end', () => {
-        const raw = Buffer.concat(parts);
-        const data = (raw.length === 0 ? {} : decode(raw)) as Record<string, unknown>;
+        const answer = Buffer.concat(parts);
+        const data = (answer.length === 0 ? {} : decode(answer)) as Record<string, unknown>;
         resolve({ status: res.statusCode ?? 0, body: data, retryAfter: res.headers['retry-after'] });
       });
     });
     req.on('error', reject);
-    if (body !== undefined) req.write(Buffer.isBuffer(body) ? body : encode(body));
+    if (raw !== null) req.write(raw);
     req.end();
   });
 }
--- a/test/standins/worker.ts
+++ b/test/standins/worker.ts
@@ -1,3 +1,4 @@
+import type { Agent } from 'node:http';
 import { call, listen, type Reply } from './http.js';
 
 interface Held {
@@ -45,6 +46,10 @@
   session = 1;
   /** Its answers to commands take so long; the commands are carried out at once. */
   slowMs = 0;
+  /** How often it reports. */
+  everyMs = 60;
+  /** It keeps its connection to a controller, as workers do. */
+  agent: Agent | false = false;
   private tick = 0;
   private readonly held = new Map<string, Held>();
   private readonly timers = new Set<NodeJS.Timeout>();
@@ -98,11 +103,13 @@
       const addr = this.controllers[at % this.controllers.length] ?? '';
       const sent = process.hrtime.bigint();
       const session = this.session;
-      const r = this.mute ? null : await call(addr, 'POST', '/hello', this.body()).catch(() => null);
+      const r = this.mute
+        ? null
+        : await call(addr, 'POST', '/hello', this.body(), this.agent).catch(() => null);
       if (r?.status !== 200 || this.deaf) at += 1;
       else if (session === this.session && this.take(r.body as Orders)) this.renewed = sent;
       this.endLease();
-      await new Promise<void>((done) => this.timers.add(setTimeout(done, 60)));
+      await new Promise<void>((done) => this.timers.add(setTimeout(done, this.everyMs)));
     }
   }
 
