--- a/src/edge/memory.ts
+++ b/src/edge/memory.ts
@@ -1,3 +1,4 @@
+import { readFileSync } from 'node:fs';
 import { setFlagsFromString } from 'node:v8';
 import { runInNewContext } from 'node:vm';
 import { Subscription, interval } from 'rxjs';
@@ -16,9 +17,29 @@
 const GROWN = 0.03;
 /** How far the heap may grow between two collections, in percent of what lived through the last. */
 const GROWING_PERCENT = 35;
-/** The engine, the program and its buffers hold about this much before the first request. */
+/** The program, its heap and its buffers hold about half of this before the first request; a takeover needs the rest. */
 export const LEAST_MB = 96;
 
+/**
+ * What a process holds for itself, of what is resident: pages of files, the engine's own code above all, are shared and
+ * given back by the kernel when it is short. Counting them had a controller with two fifths of its memory left refuse
+ * its users for the rest of the day. `statm`: size, resident, shared, … in pages.
+ */
+export function ownShare(statm: string): number {
+  const [, resident = NaN, shared = NaN] = statm.split(' ').map(Number);
+  const own = (resident - shared) / resident;
+  return own > 0 && own <= 1 ? own : 1;
+}
+
+function heldBytes(): number {
+  const resident = process.memoryUsage.rss();
+  try {
+    return resident * ownShare(readFileSync('/proc/self/statm', 'latin1'));
+  } catch {
+    return resident;
+  }
+}
+
 /** What is to be done at a look, by the shares of the limit that are held now and were held after the last collection. */
 export function judge(held: number, afterLast: number): 'collect' | 'shed' | 'rest' {
   if (held >= COLLECT && held >= afterLast + GROWN) return 'collect';
@@ -51,7 +72,7 @@
   }
 
   private held(): number {
-    return process.memoryUsage.rss() / 1024 / 1024 / (this.limitMb ?? Infinity);
+    return heldBytes() / 1024 / 1024 / (this.limitMb ?? Infinity);
   }
 
   private look(): void {
--- a/test/limits.test.ts
+++ b/test/limits.test.ts
@@ -7,7 +7,7 @@
 import { test } from 'node:test';
 import pino from 'pino';
 import { warnSparsely } from '../src/edge/log.js';
-import { judge } from '../src/edge/memory.js';
+import { judge, ownShare } from '../src/edge/memory.js';
 import { readPlatform } from '../src/edge/settings.js';
 import { LEAST_SOCKETS, shareSockets } from '../src/edge/sockets.js';
 import { Workers } from '../src/edge/workers.js';
@@ -27,6 +27,11 @@
   assert.equal(judge(0.95, 0.91), 'collect');
 });
 
+test('memory: pages of files are not counted as held; a reading that makes no sense counts everything', () => {
+  assert.equal(ownShare('262144 26000 10400 9000 0 60000 0\n'), 0.6);
+  for (const odd of ['', 'x y z', '100 0 0', '100 50 60']) assert.equal(ownShare(odd), 1, odd);
+});
+
 test('sockets: whatever crowds in, some are left for the state service and for workers that come back', () => {
   for (const max of [64, 600, 1760, 2000]) {
     const s = shareSockets(max);
