--- a/src/core/owner.ts
+++ b/src/core/owner.ts
@@ -22,7 +22,7 @@
 import { mayStart } from './parts.js';
 import { pass, passGap } from './pass.js';
 import { heedNotices, isDeaf, probeDeaf, returnSilent } from './suspicion.js';
-import { seconds, type Now, type Steady } from './time.js';
+import { seconds, type Now, type Span, type Steady } from './time.js';
 import { newWorld, note, type Effect, type Order, type RentOrder, type Term, type World } from './world.js';
 
 /** What can happen to an owner. Each event is handled alone and yields what is to be done outside. */
@@ -152,6 +152,12 @@
     return effects;
   }
 
+  /** Tells how long an event in which a pass was made took: the core itself reads no clock. */
+  passTook(span: Span): void {
+    const w = this.world;
+    w.passTook = (w.passTook + span) / 2n;
+  }
+
   /** The answer to a report that was just taken in. */
   answer(report: Report, now: Now): Order[] {
     return ordersFor(this.world, report.machine, now, report);
--- a/src/core/pass.ts
+++ b/src/core/pass.ts
@@ -74,12 +74,20 @@
 /** Fleets up to this size are looked at whenever something changes. */
 const SMALL = 50;
 
+/** Of the time there is, passes take one part in so many at the most, but are never further apart than `FURTHEST`. */
+const PASS_PART = 4n;
+const FURTHEST = seconds(2);
+
 /**
  * Passes are made when something changed, but no closer together than this: a pass looks at every machine, and on a
- * large fleet something changes dozens of times a second.
+ * large fleet something changes dozens of times a second. On a small share of a core a pass with many blocked gangs
+ * takes a third of a second; made one after the other they left no time for the workers' reports, and leases ran out.
  */
-export const passGap = (w: World): Span =>
-  (seconds(1) / 4000n) * BigInt(Math.max(0, w.machines.size - SMALL));
+export function passGap(w: World): Span {
+  const bySize = (seconds(1) / 4000n) * BigInt(Math.max(0, w.machines.size - SMALL));
+  const byCost = w.passTook * PASS_PART < FURTHEST ? w.passTook * PASS_PART : FURTHEST;
+  return bySize > byCost ? bySize : byCost;
+}
 
 /** What a machine is fetching, by the places on it that wait for an image. */
 function pullsOn(w: World, m: Machine, type: MachineType, now: Now): Map<string, number> {
--- a/src/core/world.ts
+++ b/src/core/world.ts
@@ -74,6 +74,8 @@
   rankStale: boolean;
   /** When the last pass was made. */
   passedAt: Steady;
+  /** How long passes took lately, as the one who keeps the clock saw it. */
+  passTook: Span;
   /** Jobs that have tasks without a place. */
   readonly waiting: Set<string>;
   needPass: boolean;
@@ -146,6 +148,7 @@
     longestName: 0,
     rankStale: true,
     passedAt: term.began,
+    passTook: 0n,
     waiting: new Set(),
     needPass: true,
     holding: null,
--- a/src/edge/term.ts
+++ b/src/edge/term.ts
@@ -167,7 +167,11 @@
 
   private event(e: Event): void {
     if (this.over) return;
-    for (const effect of this.core.handle(e, now())) this.carryOut(effect);
+    const passed = this.core.world.passedAt;
+    const began = now();
+    const effects = this.core.handle(e, began);
+    if (this.core.world.passedAt !== passed) this.core.passTook(steady() - began.steady);
+    for (const effect of effects) this.carryOut(effect);
     if (this.core.world.dirty.size > 0 || this.core.world.dirtyJobs.size > 0) this.commitWake.wake();
   }
 
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -2,7 +2,8 @@
 import { test } from 'node:test';
 import { foresee } from '../src/core/foresight.js';
 import { Owner } from '../src/core/owner.js';
-import { seconds, type Now } from '../src/core/time.js';
+import { passGap } from '../src/core/pass.js';
+import { seconds, toSeconds, type Now } from '../src/core/time.js';
 import { DEFAULTS } from '../src/edge/knobs.js';
 import { FACTS, TYPE, spec } from './player.js';
 
@@ -89,3 +90,17 @@
   }
   assert.equal(placed(), 1);
 });
+
+// Seen on 5 % of a core: passes with blocked gangs followed one another, and workers' leases ran out behind them.
+test('passes that take long are made further apart, but never too far', () => {
+  const t = seconds(1000);
+  const o = new Owner(FACTS, DEFAULTS, { token: 1, began: t, contact: t, othersQuiet: t });
+  assert.equal(passGap(o.world), 0n);
+  for (let n = 0; n < 10; n++) o.passTook(seconds(0.1));
+  const gap = toSeconds(passGap(o.world));
+  assert.ok(gap > 0.39 && gap <= 0.4, `${gap}`);
+  for (let n = 0; n < 10; n++) o.passTook(seconds(30));
+  assert.equal(passGap(o.world), seconds(2));
+  for (let n = 0; n < 60; n++) o.passTook(0n);
+  assert.ok(passGap(o.world) < seconds(0.001));
+});
