--- a/measure/load.ts
+++ b/measure/load.ts
@@ -4,7 +4,7 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { call, listen } from '../test/standins/http.js';
-import { freePort, job, platform } from '../test/standins/site.js';
+import { ownAddress, job, platform } from '../test/standins/site.js';
 import { StateStandIn } from '../test/standins/state.js';
 import { Watch, WorkerStandIn } from '../test/standins/worker.js';
 
@@ -72,7 +72,7 @@
 async function main(): Promise<void> {
   const state = new StateStandIn({ txnOps: 12, valueBytes: 4096 });
   await state.start();
-  const api = `127.0.0.1:${await freePort()}`;
+  const api = ownAddress();
   const workers: WorkerStandIn[] = [];
   const cloud = await listen((_m, url) =>
     url.pathname === '/flavors'
--- a/test/election.test.ts
+++ b/test/election.test.ts
@@ -3,7 +3,7 @@
 import type { Subscription } from 'rxjs';
 import { call } from './standins/http.js';
 import {
-  freePort,
+  ownAddress,
   job,
   makeSite,
   platform,
@@ -38,7 +38,7 @@
     const state = new StateStandIn({ txnOps: 4, valueBytes: 4096 });
     const watch = new Watch();
     await state.start();
-    const api = `127.0.0.1:${await freePort()}`;
+    const api = ownAddress();
     const site = await makeSite([api], watch, () => 150);
     const settings = platform('one', api, site.cloud, state);
     let controller: Subscription | null = null;
@@ -88,7 +88,7 @@
     const state = new StateStandIn({ txnOps: 4, valueBytes: 4096 });
     const watch = new Watch();
     await state.start();
-    const api = `127.0.0.1:${await freePort()}`;
+    const api = ownAddress();
     const site = await makeSite([api], watch, (t) => (t.startsWith('req-9') ? null : 150), 4);
     const settings = platform('one', api, site.cloud, state);
     let controller: Subscription | null = null;
--- a/test/gap.test.ts
+++ b/test/gap.test.ts
@@ -3,7 +3,7 @@
 import type { Subscription } from 'rxjs';
 import { call } from './standins/http.js';
 import {
-  freePort,
+  ownAddress,
   job,
   makeSite,
   platform,
@@ -42,7 +42,7 @@
   const state = new StateStandIn({ txnOps: 4, valueBytes: 4096 });
   const watch = new Watch();
   await state.start();
-  const apis = [`127.0.0.1:${await freePort()}`, `127.0.0.1:${await freePort()}`] as const;
+  const apis = [ownAddress(), ownAddress()] as const;
   const site = await makeSite(apis, watch, () => null);
   for (const w of site.workers) w.leaseMs = WORKERS.lease_s * 1000;
   const running: Subscription[] = [];
@@ -150,7 +150,7 @@
     const state = new StateStandIn({ txnOps: 4, valueBytes: 4096 });
     const watch = new Watch();
     await state.start();
-    const api = `127.0.0.1:${await freePort()}`;
+    const api = ownAddress();
     const site = await makeSite([api], watch, () => null);
     const door = await state.door();
     let claimed = 0n;
--- a/test/limits.test.ts
+++ b/test/limits.test.ts
@@ -14,7 +14,7 @@
 import { decode, encode } from '../src/wire/cbor.js';
 import { isReadable, writeJob } from '../src/wire/records.js';
 import { spec } from './player.js';
-import { freePort, makeSite, platform, startController, until, untilHealthy } from './standins/site.js';
+import { ownAddress, makeSite, platform, startController, until, untilHealthy } from './standins/site.js';
 import { StateStandIn } from './standins/state.js';
 import { Watch } from './standins/worker.js';
 
@@ -121,7 +121,7 @@
 test('more users than sockets: all of them are answered in turn, and workers come in', async () => {
   const state = new StateStandIn({ txnOps: 4, valueBytes: 4096 });
   await state.start();
-  const api = `127.0.0.1:${await freePort()}`;
+  const api = ownAddress();
   const site = await makeSite([api], new Watch(), () => 150);
   const p = platform('one', api, site.cloud, state);
   const limits = { core_share: 1, memory_mb: 4000, max_sockets: LEAST_SOCKETS };
--- a/test/meetings.test.ts
+++ b/test/meetings.test.ts
@@ -3,7 +3,7 @@
 import type { Subscription } from 'rxjs';
 import { call } from './standins/http.js';
 import {
-  freePort,
+  ownAddress,
   job,
   makeSite,
   platform,
@@ -41,7 +41,7 @@
   const watch = new Watch();
   await state.start();
   const apis: string[] = [];
-  for (let n = 0; n < controllers; n++) apis.push(`127.0.0.1:${await freePort()}`);
+  for (let n = 0; n < controllers; n++) apis.push(ownAddress());
   const site = await makeSite(apis, watch, runMs);
   if (workers.lease_s !== undefined) for (const w of site.workers) w.leaseMs = workers.lease_s * 1000;
   const running = new Map<number, Subscription>();
@@ -207,8 +207,8 @@
     const [ready = ''] = s.apis;
     assert.equal((await call(ready, 'POST', '/work', job('req-1', { shape: 'service' }))).status, 201);
     // A second controller that knows the state service, but no machine types yet.
-    const fresh = `127.0.0.1:${await freePort()}`;
-    const dead = `127.0.0.1:${await freePort()}`;
+    const fresh = ownAddress();
+    const dead = ownAddress();
     const c = startController(platform('c9', fresh, dead, s.state));
     stops.push(() => c.unsubscribe());
     await until('it reads', async () =>
--- a/test/service.test.ts
+++ b/test/service.test.ts
@@ -2,7 +2,15 @@
 import { after, before, test } from 'node:test';
 import type { Subscription } from 'rxjs';
 import { call } from './standins/http.js';
-import { freePort, job, makeSite, platform, startController, until, untilHealthy } from './standins/site.js';
+import {
+  ownAddress,
+  job,
+  makeSite,
+  platform,
+  startController,
+  until,
+  untilHealthy,
+} from './standins/site.js';
 import { StateStandIn } from './standins/state.js';
 import { Watch } from './standins/worker.js';
 
@@ -21,8 +29,8 @@
 
 before(async () => {
   await state.start();
-  users = `127.0.0.1:${await freePort()}`;
-  second = `127.0.0.1:${await freePort()}`;
+  users = ownAddress();
+  second = ownAddress();
   const site = await makeSite([users, second], watch, (t) => (t.startsWith('req-9') ? null : 150));
   running.push(site);
   for (const [label, api] of [
--- a/test/standins/site.ts
+++ b/test/standins/site.ts
@@ -1,5 +1,4 @@
 import assert from 'node:assert/strict';
-import { createServer, type AddressInfo } from 'node:net';
 import pino from 'pino';
 import type { Subscription } from 'rxjs';
 import { DEFAULTS } from '../../src/edge/knobs.js';
@@ -9,12 +8,18 @@
 import { WorkerStandIn, type Watch } from './worker.js';
 
 /** What the tests of a whole service on loopback share: settings, a cloud, two workers, jobs. */
-export async function freePort(): Promise<number> {
-  const s = createServer();
-  await new Promise<void>((done) => s.listen(0, '127.0.0.1', done));
-  const port = (s.address() as AddressInfo).port;
-  await new Promise<void>((done) => s.close(() => done()));
-  return port;
+
+let ports = 8000;
+/**
+ * An address for a controller that starts later, which nobody else can have by then. A port that was free when asked
+ * for may be the source port of somebody's connection a moment later, and a test then failed with "address already in
+ * use": each test process has a loopback address of its own, made of its id, and counts ports below those that the
+ * kernel gives out.
+ */
+export function ownAddress(): string {
+  const id = process.pid;
+  ports += 1;
+  return `127.${1 + ((id >> 16) & 0x7f)}.${(id >> 8) & 0xff}.${id & 0xff}:${ports}`;
 }
 
 const TYPES = {
