--- a/measure/load.ts
+++ b/measure/load.ts
@@ -1,6 +1,6 @@
-import { spawn } from 'node:child_process';
+import { spawn, type ChildProcess } from 'node:child_process';
 import { Agent } from 'node:http';
-import { existsSync, mkdtempSync, readFileSync, readdirSync, rmSync, writeFileSync } from 'node:fs';
+import { mkdtempSync, readFileSync, readdirSync, rmSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { call, listen } from '../test/standins/http.js';
@@ -69,6 +69,27 @@
   return [...own].filter(([name]) => !name.startsWith('(idle)')).sort((a, b) => b[1] - a[1]);
 }
 
+/** Ends a process in the way in which it writes its profile. */
+async function over(child: ChildProcess): Promise<void> {
+  child.kill('SIGTERM');
+  await new Promise((done) => child.once('exit', done));
+}
+
+/** Tells what the profile in the folder says, and takes it away. */
+function tell(folder: string, what: string): void {
+  const file = readdirSync(folder).find((f) => f.endsWith('.cpuprofile'));
+  if (file === undefined) return;
+  const rows = shares(JSON.parse(readFileSync(join(folder, file), 'utf8')) as Profile);
+  rmSync(join(folder, file));
+  const all = rows.reduce((sum, [, ms]) => sum + ms, 0);
+  console.log(`largest ${what}, of ${all.toFixed(0)} ms:`);
+  for (const [name, ms] of rows.slice(0, 45))
+    console.log(`${((100 * ms) / all).toFixed(1).padStart(5)} %  ${ms.toFixed(0).padStart(6)} ms  ${name}`);
+}
+
+/** How long the second process is looked at. */
+const TAKEOVER_S = 12;
+
 async function main(): Promise<void> {
   const state = new StateStandIn({ txnOps: 12, valueBytes: 4096 });
   await state.start();
@@ -104,18 +125,21 @@
     join(folder, 'settings.json'),
     JSON.stringify({ ...p, facts: { ...p.facts, teams, limits } }),
   );
-  const child = spawn(
-    process.execPath,
-    ['--cpu-prof', `--cpu-prof-dir=${folder}`, 'target/main.js', '--config', join(folder, 'settings.json')],
-    { stdio: ['ignore', 'ignore', 'inherit'], env: { ...process.env, LOG_LEVEL: 'info' } },
-  );
-  const pid = child.pid ?? 0;
+  const begin = async (): Promise<ChildProcess> => {
+    const child = spawn(
+      process.execPath,
+      ['--cpu-prof', `--cpu-prof-dir=${folder}`, 'target/main.js', '--config', join(folder, 'settings.json')],
+      { stdio: ['ignore', 'ignore', 'inherit'], env: { ...process.env, LOG_LEVEL: 'info' } },
+    );
+    for (;;) {
+      const r = await call(api, 'GET', '/healthz').catch(() => null);
+      if (r?.status === 200) return child;
+      await pause(20);
+    }
+  };
   const began = process.hrtime.bigint();
-  for (;;) {
-    const r = await call(api, 'GET', '/healthz').catch(() => null);
-    if (r?.status === 200) break;
-    await pause(20);
-  }
+  let child = await begin();
+  let pid = child.pid ?? 0;
   const started = heldBy(pid);
   console.log(
     `start: healthy after ${Number(process.hrtime.bigint() - began) / 1e6} ms of wall time,`,
@@ -161,18 +185,25 @@
     `(${((end.systemMs - busy.systemMs) / (seconds * 1000)).toFixed(3)} in the kernel), at most ${peak.toFixed(1)} MB,`,
     `${watch.starts} tasks started, ${watch.broken.length} twice`,
   );
-  child.kill('SIGTERM');
-  await new Promise((done) => child.once('exit', done));
+  await over(child);
+  tell(folder, 'of the first process');
+  // The same machines and tasks once more, for a process that has nothing compiled and nothing connected yet.
+  child = await begin();
+  pid = child.pid ?? 0;
+  let last = heldBy(pid);
+  const bySecond: string[] = [];
+  for (let s = 0; s < TAKEOVER_S; s++) {
+    await pause(1000);
+    const now = heldBy(pid);
+    bySecond.push(((now.userMs + now.systemMs - last.userMs - last.systemMs) / 1000).toFixed(2));
+    last = now;
+  }
+  console.log(`after a takeover, of a core by the second: ${bySecond.join(' ')}`);
+  await over(child);
+  tell(folder, 'of the takeover');
   for (const w of workers) w.stop();
   cloud.close();
   state.stop();
-  const file = readdirSync(folder).find((f) => f.endsWith('.cpuprofile'));
-  if (file !== undefined && existsSync(join(folder, file))) {
-    const rows = shares(JSON.parse(readFileSync(join(folder, file), 'utf8')) as Profile);
-    const all = rows.reduce((sum, [, ms]) => sum + ms, 0);
-    for (const [name, ms] of rows.slice(0, 45))
-      console.log(`${((100 * ms) / all).toFixed(1).padStart(5)} %  ${ms.toFixed(0).padStart(6)} ms  ${name}`);
-  }
   rmSync(folder, { recursive: true });
 }
 
