Reports are answered in short turns, so that new connections get in while a leader is behind

After all controllers crash the loop goes round 2 to 60 times a second, since each round answers every report that has come; connections then wait longer than the 4 s their workers have, are dead when they are taken in (as many closed as taken in, second by second, at 48 to 70 open ones of 140), and are answered all the same, for minutes, up to all 600 sockets. Now reports wait in an intake, at most one a connection, and are answered in turns of 10 ms, one round later than they came; one whose connection has ended by then is not looked at. Answers without orders are written once a token.

--- a/src/edge/api.ts
+++ b/src/edge/api.ts
@@ -19,7 +19,7 @@
 import { messageOf } from './duty.js';
 import { parseTarget } from './http.js';
 import { warnSparsely, type Log } from './log.js';
-import { readReports, type ReportAnswer } from './reports.js';
+import { Intake, readReports, type ReportAnswer } from './reports.js';
 import type { SocketShares } from './sockets.js';
 
 export interface ApiParts {
@@ -74,7 +74,11 @@
 /** Users' connections that came when there were too many. */
 const crowded = new WeakSet<Socket>();
 
-export function makeApp(p: ApiParts, open: () => number): express.Express {
+export function makeApp(
+  p: ApiParts,
+  answer: (raw: Buffer) => ReportAnswer,
+  open: () => number,
+): express.Express {
   const app = express();
   app.use((_req: Request, res: Response, next: NextFunction) => {
     if (open() > p.sockets.turnsAbove) res.setHeader('connection', 'close');
@@ -93,7 +97,7 @@
 
   // Reports in an unusual form come this way.
   app.post(API_PATHS.report, (req, res) => {
-    const a = takeReport(p, Buffer.isBuffer(req.body) ? req.body : Buffer.alloc(0));
+    const a = answer(Buffer.isBuffer(req.body) ? req.body : Buffer.alloc(0));
     res.writeHead(a.status, { 'content-type': 'application/cbor', 'content-length': a.body.length });
     res.end(a.body);
   });
@@ -150,25 +154,33 @@
   return { status: 400, body: encode({ error: why }) };
 }
 
-/** The answer to a worker's report. */
-function takeReport(p: ApiParts, raw: Buffer): ReportAnswer {
-  let body: unknown;
-  try {
-    body = decode(raw);
-  } catch {
-    return refuseReport(p, 'not CBOR');
-  }
-  const r = parseReport(body);
-  if (!r.ok) return refuseReport(p, r.why);
-  try {
-    const answer = p.report(r.value);
-    if (answer === null) return { status: 421, body: encode(redirect(p.ownerLabel())) };
-    return { status: 200, body: encode(orders(answer.token, answer.orders)) };
-  } catch (e) {
-    // The worker goes on to the next controller; a report that trips us must not end the process.
-    warnSparsely(p.log, { error: messageOf(e) }, 'a report could not be taken in');
-    return { status: 503, body: encode({ error: 'internal trouble' }) };
-  }
+/** The answers to workers' reports. Most carry no orders and differ by the token alone: those are written once for each. */
+function reportAnswers(p: ApiParts): (raw: Buffer) => ReportAnswer {
+  let plain: { readonly token: number; readonly body: Buffer } | null = null;
+  const write = (token: number, list: readonly Order[]): Buffer => {
+    if (list.length > 0) return encode(orders(token, list));
+    if (plain?.token !== token) plain = { token, body: encode(orders(token, [])) };
+    return plain.body;
+  };
+  return (raw) => {
+    let body: unknown;
+    try {
+      body = decode(raw);
+    } catch {
+      return refuseReport(p, 'not CBOR');
+    }
+    const r = parseReport(body);
+    if (!r.ok) return refuseReport(p, r.why);
+    try {
+      const answer = p.report(r.value);
+      if (answer === null) return { status: 421, body: encode(redirect(p.ownerLabel())) };
+      return { status: 200, body: write(answer.token, answer.orders) };
+    } catch (e) {
+      // The worker goes on to the next controller; a report that trips us must not end the process.
+      warnSparsely(p.log, { error: messageOf(e) }, 'a report could not be taken in');
+      return { status: 503, body: encode({ error: 'internal trouble' }) };
+    }
+  };
 }
 
 /**
@@ -178,26 +190,24 @@
 export function serve(p: ApiParts): Observable<{ readonly port: number }> {
   return new Observable((subscriber) => {
     let open = 0;
-    const users = http.createServer(makeApp(p, () => open));
+    const answer = reportAnswers(p);
+    const users = http.createServer(makeApp(p, answer, () => open));
     users.keepAliveTimeout = 120_000;
     users.requestTimeout = 15_000;
     const all = new Subscription();
+    const intake = new Intake();
+    all.add(() => intake.stop());
     const server = createServer((socket) => {
       open += 1;
       socket.once('close', () => (open -= 1));
       const one = (fromEvent(socket, 'error') as Observable<unknown>)
         .pipe(takeUntil(fromEvent(socket, 'close')))
         .subscribe({ complete: () => all.remove(one) });
-      const stop = readReports(
-        socket,
-        BODY_LIMIT,
-        (raw) => takeReport(p, raw),
-        (s) => {
-          if (open > p.sockets.usersBelow) crowded.add(s);
-          users.emit('connection', s);
-          s.resume();
-        },
-      );
+      const stop = readReports(socket, BODY_LIMIT, intake, answer, (s) => {
+        if (open > p.sockets.usersBelow) crowded.add(s);
+        users.emit('connection', s);
+        s.resume();
+      });
       one.add(stop);
       all.add(one);
     });
--- a/src/edge/reports.ts
+++ b/src/edge/reports.ts
@@ -1,5 +1,6 @@
 import type { Socket } from 'node:net';
 import { API_PATHS } from '../wire/dialect.js';
+import { steady } from './clock.js';
 
 /**
  * Workers' reports, read straight from the socket. They come hundreds of times a second over connections that carry
@@ -66,51 +67,124 @@
   return raw.length < from + length ? { kind: 'part' } : { kind: 'report', from, to: from + length, close };
 }
 
+/** One turn of the intake ends after this long, whatever still waits. */
+const TURN_NS = 10_000_000n;
+
+/**
+ * Reports that have come in whole and wait for their answer, the oldest first, at most one a connection. The engine
+ * takes in one new connection each time round its loop: with every report answered as it was read, a leader that was
+ * behind went round a few dozen times a second, and workers that came back after a takeover waited for longer than the
+ * 4 s they have, gave up, and came again. Answers are given in short turns, so that the loop goes round often; a report
+ * whose worker has gone meanwhile is not looked at, since nobody would hear the answer and its next one says more.
+ */
+export class Intake {
+  /** What waits, oldest first, with the turn before which it came. */
+  private readonly waiting = new Map<() => void, number>();
+  private turns = 0;
+  private turn: NodeJS.Immediate | null = null;
+
+  constructor(
+    private readonly clock: () => bigint = steady,
+    private readonly soon: (f: () => void) => NodeJS.Immediate = setImmediate,
+  ) {}
+
+  /** How many wait. */
+  get size(): number {
+    return this.waiting.size;
+  }
+
+  /** Has `answer` called when its turn comes. Returns what takes it back. */
+  push(answer: () => void): () => void {
+    // A function may stand here twice: each push has an entry of its own.
+    const entry = (): void => answer();
+    this.waiting.set(entry, this.turns);
+    this.turn ??= this.soon(() => this.take());
+    return () => this.waiting.delete(entry);
+  }
+
+  private take(): void {
+    this.turn = null;
+    const began = this.clock();
+    for (const [entry, came] of this.waiting) {
+      // What came since the last turn waits for the next: by then the end of its connection would have been seen.
+      if (came === this.turns) break;
+      this.waiting.delete(entry);
+      entry();
+      if (this.clock() - began >= TURN_NS) break;
+    }
+    this.turns += 1;
+    if (this.waiting.size > 0) this.turn ??= this.soon(() => this.take());
+  }
+
+  stop(): void {
+    this.waiting.clear();
+    if (this.turn !== null) clearImmediate(this.turn);
+    this.turn = null;
+  }
+}
+
 /** One connection, until it ends or turns out to be for the general server. Returns what tears it down. */
 export function readReports(
   socket: Socket,
   bodyLimit: number,
+  intake: Intake,
   answer: (body: Buffer) => ReportAnswer,
   handOver: (socket: Socket) => void,
 ): () => void {
   let raw: Buffer = Buffer.alloc(0);
   let began = 0n;
+  /** Takes back the report that waits for its answer; null if none does. */
+  let takeBack: (() => void) | null = null;
   const whole = setInterval(() => {
     if (raw.length > 0 && process.hrtime.bigint() - began > BigInt(WHOLE_MS) * 1_000_000n) socket.destroy();
   }, WHOLE_MS);
   const stop = (): void => {
     clearInterval(whole);
+    takeBack?.();
+    takeBack = null;
     socket.off('data', onData);
+    socket.off('end', stop);
     socket.off('close', stop);
   };
   const onData = (d: Buffer): void => {
     if (raw.length === 0) began = process.hrtime.bigint();
     raw = raw.length === 0 ? d : Buffer.concat([raw, d]);
-    for (;;) {
-      if (raw.length === 0) return;
-      const head = headOf(raw, bodyLimit);
-      if (head.kind === 'part') return;
-      if (head.kind === 'other') {
-        stop();
-        socket.setTimeout(0);
-        socket.pause();
-        socket.unshift(raw);
-        handOver(socket);
-        return;
-      }
-      const a = answer(raw.subarray(head.from, head.to));
-      raw = raw.subarray(head.to);
-      socket.write(answerBytes(a, head.close));
+    // Requests are not pipelined: what comes ahead of an answer is held back, beyond one request in the network.
+    if (takeBack === null) read();
+    else if (raw.length > HEAD_LIMIT + bodyLimit) socket.pause();
+  };
+  const read = (): void => {
+    if (raw.length === 0) return;
+    const head = headOf(raw, bodyLimit);
+    if (head.kind === 'part') return;
+    if (head.kind === 'other') {
+      stop();
+      socket.setTimeout(0);
+      socket.pause();
+      socket.unshift(raw);
+      handOver(socket);
+      return;
+    }
+    const body = raw.subarray(head.from, head.to);
+    raw = raw.subarray(head.to);
+    takeBack = intake.push(() => {
+      takeBack = null;
+      socket.write(answerBytes(answer(body), head.close));
       if (head.close) {
         stop();
         socket.end();
         return;
       }
-    }
+      if (raw.length > 0) {
+        socket.resume();
+        read();
+      }
+    });
   };
   socket.setNoDelay(true);
   socket.setTimeout(SILENT_MS, () => socket.destroy());
   socket.on('data', onData);
+  socket.on('end', stop);
   socket.on('close', stop);
   return () => {
     stop();
