A stale queue of new connections is dropped by listening anew

Now 32 in a row that were given up before they were taken in show that, and the door listens anew, at most every 4 s: what waits is reset at once and comes again to a short queue. What is open already is not touched.

--- a/src/edge/api.ts
+++ b/src/edge/api.ts
@@ -1,7 +1,7 @@
 import http, { type ServerResponse } from 'node:http';
-import { createServer, type Socket } from 'node:net';
+import type { Socket } from 'node:net';
 import express, { type NextFunction, type Request, type Response } from 'express';
-import { fromEvent, Observable, Subscription, takeUntil } from 'rxjs';
+import { Observable, Subscription } from 'rxjs';
 import type { Report } from '../core/model.js';
 import type { Order } from '../core/world.js';
 import { decode, encode } from '../wire/cbor.js';
@@ -16,6 +16,7 @@
   redirect,
 } from '../wire/dialect.js';
 import type { Answer, Desk, View } from './desk.js';
+import { Door } from './door.js';
 import { messageOf } from './duty.js';
 import { parseTarget } from './http.js';
 import { warnSparsely, type Log } from './log.js';
@@ -195,33 +196,34 @@
     users.keepAliveTimeout = 120_000;
     users.requestTimeout = 15_000;
     const all = new Subscription();
-    const intake = new Intake();
-    all.add(() => intake.stop());
-    const server = createServer((socket) => {
+    const intake = new Intake(() => {
+      if (door.openAnew()) p.log.info({ open }, 'the queue of new connections is stale: listening anew');
+    });
+    const door = new Door(parseTarget(p.addr), (socket) => {
+      if (open >= p.sockets.inbound) {
+        socket.destroy();
+        return;
+      }
       open += 1;
-      socket.once('close', () => (open -= 1));
-      const one = (fromEvent(socket, 'error') as Observable<unknown>)
-        .pipe(takeUntil(fromEvent(socket, 'close')))
-        .subscribe({ complete: () => all.remove(one) });
-      const stop = readReports(socket, BODY_LIMIT, intake, answer, (s) => {
-        if (open > p.sockets.usersBelow) crowded.add(s);
-        users.emit('connection', s);
-        s.resume();
+      const one = new Subscription();
+      one.add(
+        readReports(socket, BODY_LIMIT, intake, answer, (s) => {
+          if (open > p.sockets.usersBelow) crowded.add(s);
+          users.emit('connection', s);
+          s.resume();
+        }),
+      );
+      socket.on('error', () => undefined);
+      socket.once('close', () => {
+        open -= 1;
+        one.unsubscribe();
+        all.remove(one);
       });
-      one.add(stop);
       all.add(one);
     });
-    if (Number.isFinite(p.sockets.inbound)) server.maxConnections = p.sockets.inbound;
-    server.on('error', (e) => subscriber.error(e));
-    const at = parseTarget(p.addr);
-    server.listen(at.port, at.host, () => {
-      const bound = server.address();
-      subscriber.next({ port: typeof bound === 'object' && bound !== null ? bound.port : at.port });
-    });
-    return () => {
-      all.unsubscribe();
-      server.close();
-      users.closeAllConnections();
-    };
+    all.add(door.open().subscribe(subscriber));
+    all.add(() => intake.stop());
+    all.add(() => users.closeAllConnections());
+    return all;
   });
 }
--- a/src/edge/reports.ts
+++ b/src/edge/reports.ts
@@ -69,6 +69,8 @@
 
 /** One turn of the intake ends after this long, whatever still waits. */
 const TURN_NS = 10_000_000n;
+/** So many new connections in a row that were given up before they were taken in: the queue of them is stale. */
+const STALE = 32;
 
 /**
  * Reports that have come in whole and wait for their answer, the oldest first, at most one a connection. The engine
@@ -81,9 +83,13 @@
   /** What waits, oldest first, with the turn before which it came. */
   private readonly waiting = new Map<() => void, number>();
   private turns = 0;
+  /** New connections in a row that had been given up when they were taken in. */
+  private tooLate = 0;
   private turn: NodeJS.Immediate | null = null;
 
   constructor(
+    /** What waits to be taken in has waited longer than those who wait have patience. */
+    private readonly onStale: () => void = () => undefined,
     private readonly clock: () => bigint = steady,
     private readonly soon: (f: () => void) => NodeJS.Immediate = setImmediate,
   ) {}
@@ -93,13 +99,21 @@
     return this.waiting.size;
   }
 
-  /** Has `answer` called when its turn comes. Returns what takes it back. */
-  push(answer: () => void): () => void {
-    // A function may stand here twice: each push has an entry of its own.
-    const entry = (): void => answer();
+  /** Has `answer` called when its turn comes. `fresh`: the first on its connection. Returns what takes it back. */
+  push(answer: () => void, fresh: boolean): () => void {
+    const entry = (): void => {
+      if (fresh) this.tooLate = 0;
+      answer();
+    };
     this.waiting.set(entry, this.turns);
     this.turn ??= this.soon(() => this.take());
-    return () => this.waiting.delete(entry);
+    return () => {
+      if (!this.waiting.delete(entry) || !fresh) return;
+      this.tooLate += 1;
+      if (this.tooLate < STALE) return;
+      this.tooLate = 0;
+      this.onStale();
+    };
   }
 
   private take(): void {
@@ -133,6 +147,7 @@
 ): () => void {
   let raw: Buffer = Buffer.alloc(0);
   let began = 0n;
+  let fresh = true;
   /** Takes back the report that waits for its answer; null if none does. */
   let takeBack: (() => void) | null = null;
   const whole = setInterval(() => {
@@ -179,7 +194,8 @@
         socket.resume();
         read();
       }
-    });
+    }, fresh);
+    fresh = false;
   };
   socket.setNoDelay(true);
   socket.setTimeout(SILENT_MS, () => socket.destroy());
--- a/test/behind.test.ts
+++ b/test/behind.test.ts
@@ -1,5 +1,5 @@
 import assert from 'node:assert/strict';
-import type { Socket } from 'node:net';
+import { connect, type Socket } from 'node:net';
 import { Duplex } from 'node:stream';
 import { test } from 'node:test';
 import { Owner } from '../src/core/owner.js';
@@ -8,6 +8,8 @@
 import { seconds, type Now } from '../src/core/time.js';
 import type { Effect, Order } from '../src/core/world.js';
 import { DEFAULTS } from '../src/edge/knobs.js';
+import { Door } from '../src/edge/door.js';
+import { parseTarget } from '../src/edge/http.js';
 import { Intake, readReports } from '../src/edge/reports.js';
 import { Workers } from '../src/edge/workers.js';
 import { FACTS, TYPE, spec } from './player.js';
@@ -23,10 +25,16 @@
  */
 
 /** Turns are taken by hand, and time goes on only where a test says so. */
-function intakeByHand(): { intake: Intake; turn: () => void; pass: (ms: number) => void; due: () => number } {
+function intakeByHand(onStale: () => void = () => undefined): {
+  intake: Intake;
+  turn: () => void;
+  pass: (ms: number) => void;
+  due: () => number;
+} {
   let now = 0n;
   const due: (() => void)[] = [];
   const intake = new Intake(
+    onStale,
     () => now,
     (f) => {
       due.push(f);
@@ -48,7 +56,7 @@
     intake.push(() => {
       answered.push(n);
       pass(4);
-    });
+    }, false);
   turn();
   assert.deepEqual(answered, [], 'the end of a connection is seen one round after what it brought');
   turn();
@@ -98,6 +106,61 @@
   gone.destroy();
 });
 
+test('new connections that were given up before they were taken in, many in a row, show that their queue is stale', () => {
+  let stale = 0;
+  const { intake, turn } = intakeByHand(() => (stale += 1));
+  const giveUp = (n: number, fresh = true): void => {
+    for (let k = 0; k < n; k++) intake.push(() => assert.fail('given up'), fresh)();
+  };
+  giveUp(31);
+  // Connections that are open already say nothing of the queue, neither way.
+  giveUp(40, false);
+  intake.push(() => undefined, false);
+  turn();
+  turn();
+  assert.equal(stale, 0);
+  giveUp(1);
+  assert.equal(stale, 1);
+  // One that is still there when its turn comes shows that the wait is short enough.
+  giveUp(31);
+  intake.push(() => undefined, true);
+  turn();
+  turn();
+  giveUp(31);
+  assert.equal(stale, 1);
+});
+
+test('listening anew resets what waits to be taken in, and leaves alone what was taken in', async () => {
+  const taken: Socket[] = [];
+  const at = parseTarget(ownAddress());
+  const door = new Door(at, (s) => taken.push(s.on('error', () => undefined)));
+  const running = door.open().subscribe();
+  const client = (): { readonly socket: Socket; over: boolean } => {
+    const c = { socket: connect(at.port, at.host), over: false };
+    c.socket.on('error', () => undefined).on('close', () => (c.over = true));
+    return c;
+  };
+  const first = client();
+  await until('the first', () => Promise.resolve(taken.length === 1 ? true : null));
+  assert.equal(door.openAnew(), false, 'not so soon after it was opened');
+  const waiting = Array.from({ length: 6 }, client);
+  // Their connections are made; the loop has gone round once, and taken one of them in at the most.
+  await new Promise((done) => setImmediate(done));
+  const before = taken.length;
+  assert.ok(before <= 2);
+  assert.equal(door.openAnew(0), true);
+  await until('resets', () =>
+    Promise.resolve(waiting.filter((w) => w.over).length === 7 - before ? true : null),
+  );
+  assert.equal(taken.length, before);
+  const next = client();
+  await until('the next', () => Promise.resolve(taken.length === before + 1 ? true : null));
+  assert.equal(first.over, false);
+  for (const c of [first, next, ...waiting]) c.socket.destroy();
+  for (const s of taken) s.destroy();
+  running.unsubscribe();
+});
+
 const wall = new Date(Date.UTC(2030, 0, 1));
 const at = (s: number): Now => ({ steady: seconds(1000 + s), wall: new Date(wall.getTime() + s * 1000) });
 
