Turns as long as the share of the core allows; a leader that is behind leaves users to the others

Now a turn is 10 ms times `core_share` of the settings, and `/healthz` of a leader that is behind says so while another controller is answered by the state service; alone it goes on serving users.

--- a/src/edge/api.ts
+++ b/src/edge/api.ts
@@ -29,6 +29,8 @@
   readonly log: Log;
   readonly healthy: () => boolean;
   readonly sockets: SocketShares;
+  /** The part of a core that we have. */
+  readonly coreShare: number;
   /** The owner's answer to a report; null if we are not the owner or may not answer. */
   readonly report: (r: Report) => { token: number; orders: Order[] } | null;
   readonly ownerLabel: () => string | null;
@@ -198,7 +200,7 @@
     const all = new Subscription();
     const intake = new Intake(() => {
       if (door.openAnew()) p.log.info({ open }, 'the queue of new connections is stale: listening anew');
-    });
+    }, p.coreShare);
     const door = new Door(parseTarget(p.addr), (socket) => {
       if (open >= p.sockets.inbound) {
         socket.destroy();
--- a/src/edge/reports.ts
+++ b/src/edge/reports.ts
@@ -67,8 +67,8 @@
   return raw.length < from + length ? { kind: 'part' } : { kind: 'report', from, to: from + length, close };
 }
 
-/** One turn of the intake ends after this long, whatever still waits. */
-const TURN_NS = 10_000_000n;
+/** One turn of the intake ends after this long, whatever still waits; on a share of a core, after that share of it. */
+const TURN_NS = 10_000_000;
 /** So many new connections in a row that were given up before they were taken in: the queue of them is stale. */
 const STALE = 32;
 
@@ -87,12 +87,17 @@
   private tooLate = 0;
   private turn: NodeJS.Immediate | null = null;
 
+  private readonly turnNs: bigint;
+
   constructor(
     /** What waits to be taken in has waited longer than those who wait have patience. */
     private readonly onStale: () => void = () => undefined,
+    coreShare = 1,
     private readonly clock: () => bigint = steady,
     private readonly soon: (f: () => void) => NodeJS.Immediate = setImmediate,
-  ) {}
+  ) {
+    this.turnNs = BigInt(Math.round(TURN_NS * coreShare));
+  }
 
   /** How many wait. */
   get size(): number {
@@ -124,7 +129,7 @@
       if (came === this.turns) break;
       this.waiting.delete(entry);
       entry();
-      if (this.clock() - began >= TURN_NS) break;
+      if (this.clock() - began >= this.turnNs) break;
     }
     this.turns += 1;
     if (this.waiting.size > 0) this.turn ??= this.soon(() => this.take());
--- a/src/edge/service.ts
+++ b/src/edge/service.ts
@@ -6,6 +6,7 @@
 import { Desk } from './desk.js';
 import { duty, messageOf, pause } from './duty.js';
 import { ImagesSeen } from './images.js';
+import { isHealthy } from './health.js';
 import { jittered } from './jitter.js';
 import type { Log } from './log.js';
 import { Memory } from './memory.js';
@@ -17,11 +18,6 @@
 
 /** The one part of today; names and keys leave room for more. */
 const PART = 'all';
-/** Without a current copy for this long a controller no longer asks for users, whatever the others say. */
-const HEALTH_MS = 15_000;
-/** If another controller has one, it is ours alone that is missing, and users are better served there. */
-const ALONE_MS = 3000;
-
 /** A controller: everything it does hangs on the subscription that this returns. */
 export function startService(
   p: Platform,
@@ -62,12 +58,13 @@
     }),
     log,
   );
-  const healthy = (): boolean => {
-    if (!desk.ready) return false;
-    const age = millisSince(store.freshAt);
-    // In an outage that all see, going away would only keep users out longer once it is over.
-    return age < ALONE_MS || (age < HEALTH_MS && !peers.othersHaveContact());
-  };
+  const healthy = (): boolean =>
+    isHealthy({
+      ready: desk.ready,
+      copyMs: millisSince(store.freshAt),
+      behind: owner.term?.behind === true,
+      othersServe: peers.othersHaveContact(),
+    });
 
   const all = new Subscription();
   all.add(memory.start());
@@ -100,6 +97,7 @@
       log,
       healthy,
       sockets,
+      coreShare: p.facts.limits?.core_share ?? 1,
       report: (r) => owner.term?.report(r) ?? null,
       ownerLabel: () => {
         const label = owner.ownerLabel();
--- a/src/edge/term.ts
+++ b/src/edge/term.ts
@@ -4,7 +4,7 @@
 import type { Facts, Knobs, MachineType, Report } from '../core/model.js';
 import { mayAnswer, mayStart, othersQuietFrom } from '../core/parts.js';
 import type { Transaction } from '../core/outbox.js';
-import type { Effect, Order, RentOrder } from '../core/world.js';
+import { isBehind, type Effect, type Order, type RentOrder } from '../core/world.js';
 import {
   jobKey,
   pageKey,
@@ -113,6 +113,11 @@
     return this.core.world.token;
   }
 
+  /** It is late with what workers ask. */
+  get behind(): boolean {
+    return isBehind(this.core.world);
+  }
+
   start(): void {
     const { log, store } = this.p;
     this.load();
--- a/test/behind.test.ts
+++ b/test/behind.test.ts
@@ -10,6 +10,7 @@
 import { DEFAULTS } from '../src/edge/knobs.js';
 import { Door } from '../src/edge/door.js';
 import { parseTarget } from '../src/edge/http.js';
+import { isHealthy } from '../src/edge/health.js';
 import { Intake, readReports } from '../src/edge/reports.js';
 import { Workers } from '../src/edge/workers.js';
 import { FACTS, TYPE, spec } from './player.js';
@@ -25,7 +26,10 @@
  */
 
 /** Turns are taken by hand, and time goes on only where a test says so. */
-function intakeByHand(onStale: () => void = () => undefined): {
+function intakeByHand(
+  onStale: () => void = () => undefined,
+  coreShare = 1,
+): {
   intake: Intake;
   turn: () => void;
   pass: (ms: number) => void;
@@ -35,6 +39,7 @@
   const due: (() => void)[] = [];
   const intake = new Intake(
     onStale,
+    coreShare,
     () => now,
     (f) => {
       due.push(f);
@@ -67,6 +72,34 @@
   assert.equal(due(), 0, 'nothing waits, nothing is planned');
 });
 
+test('a turn is as long as the share of a core allows', () => {
+  const { intake, turn, pass } = intakeByHand(undefined, 0.1);
+  let answered = 0;
+  const push = (): void => {
+    intake.push(() => {
+      answered += 1;
+      pass(1);
+    }, false);
+  };
+  push();
+  push();
+  turn();
+  turn();
+  assert.equal(answered, 1);
+});
+
+test('users are left to the others while the leader is behind or its copy is old, if there are others', () => {
+  const fine = { ready: true, copyMs: 500, behind: false, othersServe: true };
+  assert.equal(isHealthy(fine), true);
+  assert.equal(isHealthy({ ...fine, ready: false }), false);
+  assert.equal(isHealthy({ ...fine, behind: true }), false);
+  assert.equal(isHealthy({ ...fine, behind: true, othersServe: false }), true);
+  assert.equal(isHealthy({ ...fine, copyMs: 5000 }), false);
+  // In an outage that all see, going away would keep users out longer than the outage.
+  assert.equal(isHealthy({ ...fine, copyMs: 5000, othersServe: false }), true);
+  assert.equal(isHealthy({ ...fine, copyMs: 20_000, othersServe: false }), false);
+});
+
 test('a report whose worker has given up is not looked at; the others are', () => {
   const { intake, turn } = intakeByHand();
   const seen: string[] = [];
