--- a/test/behind.test.ts
+++ b/test/behind.test.ts
@@ -350,45 +350,42 @@
   worker.close();
 });
 
-test('at rest a leader asks little of the state service, and changes nothing there', async () => {
+/** A leader of its own, with two workers, while a test looks at what it asks of the state service. */
+async function withLeader(look: (state: StateStandIn) => Promise<void>): Promise<void> {
   const state = new StateStandIn({ txnOps: 4, valueBytes: 4096 });
   await state.start();
   const api = ownAddress();
   const site = await makeSite([api], new Watch(), () => null);
   const controller = startController(platform('one', api, site.cloud, state));
   try {
-    await until('an owner', () => Promise.resolve(state.renewals > 0 ? true : null));
-    await new Promise((done) => setTimeout(done, 1500));
+    await until('a leader', () => Promise.resolve(state.renewals > 0 ? true : null));
+    await look(state);
+  } finally {
+    controller.unsubscribe();
+    site.stop();
+    state.stop();
+  }
+}
+
+const ms = (n: number): Promise<void> => new Promise((done) => setTimeout(done, n));
+
+test('at rest a leader asks little of the state service, and changes nothing there', () =>
+  withLeader(async (state) => {
+    await ms(1500);
     const [asked, rev] = [state.asked, state.rev];
     const began = process.hrtime.bigint();
-    await new Promise((done) => setTimeout(done, 3000));
+    await ms(3000);
     const took = Number(process.hrtime.bigint() - began) / 1e9;
     // Two renewals, a compare of the own stamp, and a compare or two for the copy, a second.
     assert.ok(state.asked - asked <= 6 * took, `${state.asked - asked} requests in ${took} s`);
     assert.equal(state.rev, rev);
-  } finally {
-    controller.unsubscribe();
-    site.stop();
-    state.stop();
-  }
-});
+  }));
 
-test('the lease in the state service is renewed by the clock, also while earlier renewals have no answer', async () => {
-  const state = new StateStandIn({ txnOps: 4, valueBytes: 4096 });
-  await state.start();
-  const api = ownAddress();
-  const site = await makeSite([api], new Watch(), () => null);
-  const controller = startController(platform('one', api, site.cloud, state));
-  try {
-    await until('an owner', () => Promise.resolve(state.renewals > 0 ? true : null));
+test('the lease in the state service is renewed by the clock, also while earlier renewals have no answer', () =>
+  withLeader(async (state) => {
     state.renewalsHang = true;
     const before = state.renewals;
     // Within the time after which the first is given up.
-    await new Promise((done) => setTimeout(done, 1400));
+    await ms(1400);
     assert.ok(state.renewals - before >= 2, `${state.renewals - before} renewals`);
-  } finally {
-    controller.unsubscribe();
-    site.stop();
-    state.stop();
-  }
-});
+  }));
