--- a/test/meetings.test.ts
+++ b/test/meetings.test.ts
@@ -206,6 +206,8 @@
     const s = await begin(1, () => null);
     const [ready = ''] = s.apis;
     assert.equal((await call(ready, 'POST', '/work', job('req-1', { shape: 'service' }))).status, 201);
+    // The first leads before there is another: one that knows no machine types could claim the part, and place nothing.
+    await until('its answers', () => Promise.resolve(s.site.workers.every((w) => w.token > 0) ? true : null));
     // A second controller that knows the state service, but no machine types yet.
     const fresh = ownAddress();
     const dead = ownAddress();
