--- a/measure/cost.ts
+++ b/measure/cost.ts
@@ -51,6 +51,7 @@
       {
         token: ++this.stamp,
         began,
+        contact: began,
         othersQuiet: othersQuietFrom(FACTS, began),
       },
     );
--- a/src/core/world.ts
+++ b/src/core/world.ts
@@ -115,6 +115,11 @@
 export interface Term {
   readonly token: number;
   readonly began: Steady;
+  /**
+   * When the claim was sent. A cancellation confirmed between that moment and the beginning of the term may not be in
+   * the copy yet, so the answering span counts from here.
+   */
+  readonly contact: Steady;
   readonly othersQuiet: Steady;
 }
 
@@ -130,7 +135,7 @@
     firstToken: term.token,
     began: term.began,
     othersQuiet: term.othersQuiet,
-    contact: term.began,
+    contact: term.contact,
     raisedAt: term.began,
     open: new Set(),
     pages: new Map(),
--- a/src/edge/ownership.ts
+++ b/src/edge/ownership.ts
@@ -77,29 +77,30 @@
       if (holder.label !== this.record.label) return;
       if (holder.incarnation === this.record.incarnation) return;
     }
-    const ttlMs = this.holdMs();
-    const permit = await this.store.hold(ttlMs);
-    if (permit === null || signal.aborted) return;
+    const ttlMs = this.leaseMs();
+    const lease = await this.store.grantLease(ttlMs);
+    if (lease === null || signal.aborted) return;
+    const sent = steady();
     const r = await this.store.commit(
       [{ key, stamp: known?.stamp ?? 0 }],
-      [{ write: key, value: this.record, permit }],
+      [{ write: key, value: this.record, permit: lease }],
     );
-    // Stopped meanwhile: nobody would end a term that begins now. The hold runs out by itself.
+    // Stopped meanwhile: nobody would end a term that begins now. The lease runs out by itself.
     if (signal.aborted) return;
     if (r.kind !== 'ok') {
-      // Whatever became of it, the key must not stay with a hold that nobody renews.
-      await this.store.drop(permit);
+      // Whatever became of it, the key must not stay with a lease that nobody renews.
+      await this.store.revokeLease(lease);
       return;
     }
     if (!(await this.store.reached(r.rev, 5000))) {
-      await this.store.drop(permit);
+      await this.store.revokeLease(lease);
       return;
     }
     if (signal.aborted) return;
-    this.begin(r.rev, permit, ttlMs);
+    this.begin(r.rev, sent, lease, ttlMs);
   }
 
-  private begin(token: number, permit: number, ttlMs: number): void {
+  private begin(token: number, claimed: bigint, lease: number, ttlMs: number): void {
     const term = new Term(
       {
         part: this.part,
@@ -122,7 +123,8 @@
         },
       },
       token,
-      permit,
+      claimed,
+      lease,
       ttlMs / 4,
     );
     this.current = term;
@@ -131,7 +133,7 @@
   }
 
   /** Short enough for a takeover well before a worker's lease ends, long enough for a slow moment. */
-  private holdMs(): number {
+  private leaseMs(): number {
     return Math.round(Math.min(5, Math.max(2.5, toSeconds(this.facts.lease) / 4)) * 1000);
   }
 }
--- a/src/edge/store.ts
+++ b/src/edge/store.ts
@@ -20,7 +20,7 @@
 export type Committed =
   | { readonly kind: 'ok'; readonly rev: number }
   | { readonly kind: 'conflict'; readonly failed: readonly string[]; readonly rev: number }
-  /** Surely not carried out: too many requests, an outage, or a lost hold. */
+  /** Surely not carried out: too many requests, an outage, or a lost lease. */
   | { readonly kind: 'refused'; readonly why: string }
   | { readonly kind: 'unknown'; readonly why: string };
 
@@ -40,7 +40,7 @@
 const BARRIER_GAP_MS = 200;
 
 /**
- * The state service's client: a followed copy of all our keys, transactions, holds, and reads as fresh as their asker.
+ * The state service's client: a followed copy of all our keys, transactions, leases, and reads as fresh as their asker.
  * The copy never goes back; `rev` is the revision up to which it holds every change.
  */
 export class Store {
@@ -104,15 +104,15 @@
     return { kind: 'unknown', why };
   }
 
-  /** A new hold, or null if none could be had. */
-  async hold(ttlMs: number): Promise<number | null> {
+  /** A new lease, or null if none could be had. */
+  async grantLease(ttlMs: number): Promise<number | null> {
     const o = await this.client.request('POST', STORE_PATHS.holds, { ttlMs }, REQUEST_MS);
     if (o.kind !== 'answer' || o.status !== 200) return null;
     const r = schemas.permit.safeParse(o.body);
     return r.success ? r.data.permit : null;
   }
 
-  async touch(permit: number): Promise<'ok' | 'ended' | 'unknown'> {
+  async renewLease(permit: number): Promise<'ok' | 'ended' | 'unknown'> {
     const o = await this.client.request(
       'POST',
       `${STORE_PATHS.holds}/${permit}/${STORE_PATHS.renew}`,
@@ -123,7 +123,7 @@
     return o.status === 200 ? 'ok' : o.status === 404 ? 'ended' : 'unknown';
   }
 
-  async drop(permit: number): Promise<void> {
+  async revokeLease(permit: number): Promise<void> {
     await this.client.request('DELETE', `${STORE_PATHS.holds}/${permit}`, undefined, REQUEST_MS);
   }
 
--- a/src/edge/term.ts
+++ b/src/edge/term.ts
@@ -73,8 +73,10 @@
   constructor(
     private readonly p: TermParts,
     token: number,
-    private readonly permit: number,
-    private readonly touchMs: number,
+    /** When the claim was sent that made us the owner: the first moment at which the state service surely knew us. */
+    claimed: bigint,
+    private readonly lease: number,
+    private readonly renewMs: number,
   ) {
     // Rentals and returns under way each listen for the end of the term; there is no fixed number of them.
     setMaxListeners(0, this.stop.signal);
@@ -82,13 +84,15 @@
     this.core = new Owner(p.facts, p.knobs, {
       token,
       began: t.steady,
+      contact: claimed,
       othersQuiet: othersQuietFrom(p.facts, t.steady),
     });
     this.budget = new Allowance(p.writeRps * MOST_SHARE, Math.max(p.facts.txnOps, p.writeRps * 0.5));
     this.workers = new Workers(
       p.directs,
       () => this.core.world.token,
-      () => mayStart(this.core.world.contact, steady()),
+      (o) =>
+        mayStart(this.core.world.contact, steady()) && this.core.world.jobs.get(o.job)?.standing === 'open',
       (r) =>
         this.event({
           kind: 'direct',
@@ -114,7 +118,7 @@
     this.routines.add(store.changes.subscribe((c) => this.onChange(c)));
     this.routines.add(interval(TICK_MS).subscribe(() => this.event({ kind: 'tick' })));
     this.routines.add(interval(1000).subscribe(() => this.share()));
-    this.routines.add(duty('hold', log, (s) => this.keepHold(s)));
+    this.routines.add(duty('lease', log, (s) => this.keepLease(s)));
     this.routines.add(duty('heartbeat', log, (s) => this.heartbeat(s)));
     this.routines.add(duty('commits', log, (s) => this.commits(s)));
     this.routines.add(duty('machine list', log, (s) => this.pollList(s)));
@@ -192,8 +196,8 @@
       case 'abdicate':
         this.end(e.why);
         this.p.onAbdicate();
-        // Without its hold the key goes at once, and another controller can take the part.
-        void this.p.store.drop(this.permit);
+        // Without its lease the key goes at once, and another controller can take the part.
+        void this.p.store.revokeLease(this.lease);
         break;
       case 'deposed':
         this.end(`a worker has seen the higher token ${e.token}`);
@@ -234,12 +238,12 @@
     }
   }
 
-  private async keepHold(signal: AbortSignal): Promise<void> {
+  private async keepLease(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      const r = await this.p.store.touch(this.permit);
+      const r = await this.p.store.renewLease(this.lease);
       if (signal.aborted) return;
-      if (r === 'ended') return this.end('the hold ended');
-      await pause(r === 'ok' ? this.touchMs : jittered(this.touchMs / 2), signal);
+      if (r === 'ended') return this.end('the lease in the state service ended');
+      await pause(r === 'ok' ? this.renewMs : jittered(this.renewMs / 2), signal);
     }
   }
 
@@ -289,7 +293,7 @@
     this.raise = null;
     const r = await this.p.store.commit(
       [this.guard()],
-      [{ write: partKey(this.p.part), value: this.p.record, permit: this.permit }],
+      [{ write: partKey(this.p.part), value: this.p.record, permit: this.lease }],
     );
     if (signal.aborted) return;
     if (r.kind === 'ok') this.event({ kind: 'raised', token: r.rev });
@@ -320,25 +324,33 @@
       const r = await store.commit(guards, writes);
       if (signal.aborted) return;
       if (r.kind === 'ok') return this.event({ kind: 'settled', transaction: t, stamp: r.rev });
-      if (r.kind === 'conflict') return this.onConflict(t, r.failed, doubtful);
+      if (r.kind === 'conflict') return this.onConflict(t, r, doubtful, signal);
       if (r.kind === 'unknown') doubtful = true;
       this.p.log.debug({ why: r.why, n }, 'transaction not settled yet');
       await pause(jittered(Math.min(100 * 2 ** n, 1500)), signal);
     }
   }
 
-  private async onConflict(t: Transaction, failed: readonly string[], doubtful: boolean): Promise<void> {
+  private async onConflict(
+    t: Transaction,
+    conflict: { readonly failed: readonly string[]; readonly rev: number },
+    doubtful: boolean,
+    signal: AbortSignal,
+  ): Promise<void> {
     const { store } = this.p;
+    const { failed } = conflict;
+    // What the conflict means can only be read from a copy that holds it: an older one still shows the stamps that the
+    // transaction was guarded by, and taking those for what it left behind would fail every later write of the page.
+    while (!(await store.reached(conflict.rev, 2000))) if (signal.aborted) return;
     if (!(await this.stillOwner())) return this.end('the part has changed hands');
-    const first = t.pages[0];
-    const own = t.pages.some((c) => failed.includes(pageKey(this.p.part, c.id)));
-    const doneOnly = t.pages.length === 0;
+    const moved = t.pages.find((c) => failed.includes(pageKey(this.p.part, c.id)));
     // Pages have one writer: a page that moved on was moved by an earlier copy of this very transaction.
-    if (doubtful && own && first !== undefined) {
-      const e = store.copy.get(pageKey(this.p.part, first.id));
-      if (e !== undefined) return this.event({ kind: 'settled', transaction: t, stamp: e.stamp });
+    if (moved !== undefined) {
+      const e = store.copy.get(pageKey(this.p.part, moved.id));
+      if (doubtful && e !== undefined) return this.event({ kind: 'settled', transaction: t, stamp: e.stamp });
+      return this.end('a page was written by somebody else');
     }
-    if (doubtful && doneOnly) {
+    if (doubtful && t.pages.length === 0) {
       const all = t.done.every((id) => {
         const e = store.copy.get(jobKey(id));
         return e !== undefined && readJob(e.value).standing === 'done';
--- a/src/edge/workers.ts
+++ b/src/edge/workers.ts
@@ -34,8 +34,8 @@
   constructor(
     private readonly most: number,
     private readonly token: () => number,
-    /** Whether something may be started now: asked when a command is sent, which may be long after it was given. */
-    private readonly mayStart: () => boolean,
+    /** Whether a start may still be sent: asked when a command is sent, which may be long after it was given. */
+    private readonly mayStart: (o: Order) => boolean,
     private readonly result: (r: DirectResult) => void,
   ) {}
 
@@ -88,8 +88,9 @@
 
   private async call(job: DirectJob): Promise<DirectResult> {
     const token = this.token();
-    // A command may have waited behind a slow one, or we stood still meanwhile: nothing is started on an old word.
-    if (job.orders.some((o) => o.op === 'start') && !this.mayStart())
+    // A command may have waited behind a slow one, or we stood still meanwhile: nothing is started on an old word, nor
+    // for a job that was cancelled in the meantime.
+    if (job.orders.some((o) => o.op === 'start' && !this.mayStart(o)))
       return { job, token, outcome: 'refused', report: null };
     const at = this.clientOf(job.endpoint);
     at.busy += 1;
--- a/src/wire/dialect.ts
+++ b/src/wire/dialect.ts
@@ -107,7 +107,8 @@
   const recall = b['recallS'] ?? null;
   if (!isName(rig) || !isName(endpoint) || typeof build !== 'string' || typeof hall !== 'string') return null;
   if (typeof loaners !== 'boolean' || !isCount(shift) || !isCount(tick) || !isCount(baton)) return null;
-  if (recall !== null && !(typeof recall === 'number' && recall >= 0)) return null;
+  if (recall !== null && !(typeof recall === 'number' && recall >= 0 && recall <= schemas.MOST_AMOUNT))
+    return null;
   if (!Array.isArray(tickets)) return null;
   const tasks: SeenTask[] = [];
   for (const t of tickets as unknown[]) {
--- a/src/wire/schemas.ts
+++ b/src/wire/schemas.ts
@@ -1,7 +1,9 @@
 import * as z from 'zod';
 
 /** Shapes of what comes in, in the words of the interfaces. Unknown fields are dropped. */
-const amount = z.number().nonnegative();
+/** More than any amount or duration can be: beyond it a span in nanoseconds would not be a number any more. */
+export const MOST_AMOUNT = 1e9;
+const amount = z.number().nonnegative().max(MOST_AMOUNT);
 const count = z.union([z.number().int().nonnegative(), z.bigint().nonnegative().transform(Number)]);
 const orNull = <T extends z.ZodType>(t: T) => t.nullish().transform((v) => v ?? null);
 
--- /dev/null
+++ b/test/gap.test.ts
@@ -0,0 +1,167 @@
+import assert from 'node:assert/strict';
+import { after, describe, test } from 'node:test';
+import type { Subscription } from 'rxjs';
+import { call } from './standins/http.js';
+import {
+  freePort,
+  job,
+  makeSite,
+  platform,
+  startController,
+  until,
+  untilHealthy,
+  type Site,
+} from './standins/site.js';
+import { StateStandIn, type Door } from './standins/state.js';
+import { Watch } from './standins/worker.js';
+
+// The gap between two troubles: the state service refuses the leader alone, the other controller confirms cancellations
+// to users, and then the service is down for all, for longer than a cancellation may take, while the workers go on
+// reporting to the old leader. Whatever it answers, no lease that it renews may keep one of those tasks.
+const WORKERS = { lease_s: 1.5, cancel_s: 5 };
+const OUTAGE_MS = 6500;
+
+const stops: (() => void)[] = [];
+after(() => {
+  for (const s of stops) s();
+});
+
+const ms = (n: number): Promise<void> => new Promise((done) => setTimeout(done, n));
+const millis = (since: bigint): number => Number(process.hrtime.bigint() - since) / 1e6;
+
+interface Gap {
+  readonly state: StateStandIn;
+  readonly watch: Watch;
+  readonly site: Site;
+  readonly leader: { readonly api: string; readonly door: Door };
+  readonly other: { readonly api: string; readonly door: Door };
+}
+
+/** Two controllers, each with an address of its own at the state service, and two tasks that run for good. */
+async function begin(): Promise<Gap> {
+  const state = new StateStandIn({ txnOps: 4, valueBytes: 4096 });
+  const watch = new Watch();
+  await state.start();
+  const apis = [`127.0.0.1:${await freePort()}`, `127.0.0.1:${await freePort()}`] as const;
+  const site = await makeSite(apis, watch, () => null);
+  for (const w of site.workers) w.leaseMs = WORKERS.lease_s * 1000;
+  const running: Subscription[] = [];
+  stops.push(() => {
+    for (const r of running) r.unsubscribe();
+    site.stop();
+    state.stop();
+  });
+  const doors: Door[] = [];
+  for (const [n, api] of apis.entries()) {
+    const door = await state.door();
+    doors.push(door);
+    running.push(startController(platform(`c${n}`, api, site.cloud, door, WORKERS)));
+  }
+  for (const api of apis) await untilHealthy(api);
+  for (const id of ['req-1', 'req-2'])
+    assert.equal((await call(apis[0], 'POST', '/work', job(id))).status, 201);
+  await until('both run', () => Promise.resolve(watch.running.size === 2 ? true : null));
+  const part = [...state.items].find(([k]) => k.includes('/part/'));
+  const first = (part?.[1].value as { label: string }).label === 'c0' ? 0 : 1;
+  const at = (n: number) => ({ api: apis[n] ?? '', door: doors[n] ?? assert.fail() });
+  return { state, watch, site, leader: at(first), other: at(1 - first) };
+}
+
+const confirm = async (g: Gap): Promise<bigint> => {
+  const r = await call(g.other.api, 'POST', '/work/req-1/withdraw');
+  assert.deepEqual([r.status, r.body['standing']], [200, 'cancelled']);
+  return process.hrtime.bigint();
+};
+
+/** Watches until the outage is over; then everybody says the same, and what was not cancelled runs again. */
+async function end(g: Gap, confirmed: bigint): Promise<void> {
+  const limit = WORKERS.cancel_s * 1000;
+  let last = g.watch.running.has('req-1/0') ? 0 : null;
+  while (millis(confirmed) < OUTAGE_MS) {
+    if (g.watch.running.has('req-1/0')) last = millis(confirmed);
+    await ms(20);
+  }
+  assert.ok(last === null || last < limit, `the cancelled task was there ${last} ms after the answer`);
+  const started = g.watch.startedAt.get('req-1/0') ?? 0n;
+  assert.ok(started < confirmed, 'the cancelled task started after the answer');
+  g.state.down = false;
+  g.leader.door.refused = false;
+  await until('what was not cancelled runs', () =>
+    Promise.resolve(g.watch.running.has('req-2/0') ? true : null),
+  );
+  for (const { api } of [g.leader, g.other])
+    await until('one final state', async () =>
+      (await call(api, 'GET', '/work/req-1')).body['standing'] === 'cancelled' ? true : null,
+    );
+  assert.ok(!g.watch.running.has('req-1/0'));
+  assert.deepEqual(g.watch.broken, []);
+}
+
+describe('the gap between two troubles', { concurrency: 4 }, () => {
+  test('the leader is refused alone, another confirms, then nobody is served', async () => {
+    const g = await begin();
+    g.leader.door.refused = true;
+    await ms(100);
+    const confirmed = await confirm(g);
+    await ms(200);
+    g.state.down = true;
+    await end(g, confirmed);
+  });
+
+  test('the same, and in between the leader is served again for less than a second', async () => {
+    const g = await begin();
+    g.leader.door.refused = true;
+    const confirmed = await confirm(g);
+    await ms(300);
+    // It may answer again, but only once it has read the cancellation.
+    g.leader.door.refused = false;
+    await ms(700);
+    g.leader.door.refused = true;
+    await ms(100);
+    g.state.down = true;
+    await end(g, confirmed);
+  });
+
+  test('the leader is served but its follow hangs: it cannot have read the cancellation', async () => {
+    const g = await begin();
+    g.state.followsHang = true;
+    const confirmed = await confirm(g);
+    await ms(3000);
+    g.state.down = true;
+    g.state.followsHang = false;
+    await end(g, confirmed);
+  });
+
+  test('a claim that is answered late: the new leader answers no longer than counted from its sending', async () => {
+    const state = new StateStandIn({ txnOps: 4, valueBytes: 4096 });
+    const watch = new Watch();
+    await state.start();
+    const api = `127.0.0.1:${await freePort()}`;
+    const site = await makeSite([api], watch, () => null);
+    const door = await state.door();
+    let claimed = 0n;
+    state.fate = (b) => {
+      if (!JSON.stringify(b).includes('/part/') || claimed > 0n) return null;
+      claimed = process.hrtime.bigint();
+      // What it followed until then has come through; from here on it is refused, but for this one answer.
+      setTimeout(() => (door.refused = true), 600);
+      return 'held';
+    };
+    const controller = startController(platform('one', api, site.cloud, door, WORKERS));
+    stops.push(() => {
+      controller.unsubscribe();
+      site.stop();
+      state.stop();
+    });
+    await until('a claim', () => Promise.resolve(claimed > 0n ? true : null));
+    const before = site.workers.map((w) => w.renewed);
+    await ms(4000);
+    // Lease and span are 1.5 s each; a cancellation confirmed right after the claim was carried out has 5 s.
+    for (const [n, w] of site.workers.entries())
+      if (w.renewed !== before[n])
+        assert.ok(
+          Number(w.renewed - claimed) / 1e6 < 2100,
+          `answered ${Number(w.renewed - claimed) / 1e6} ms after the claim was sent`,
+        );
+  });
+});
