--- a/src/core/pass.ts
+++ b/src/core/pass.ts
@@ -208,7 +208,7 @@
 
 /** Work that is not wanted before new machines could be up twice over. */
 function patient(w: World, job: Job, now: Now): boolean {
-  if (job.spec.kind === 'service') return false;
+  if (job.spec.kind === 'service' || wallSeconds(job.submitted, now.wall) > PATIENT_S) return false;
   let boot = 0;
   for (const t of w.types.values()) boot = Math.max(boot, toSeconds(t.boot));
   // Only where some class is promised a start within that time is there anything to leave room for.
@@ -218,6 +218,9 @@
   return hasty && wantedBy(w, job) - now.wall.getTime() / 1000 > 2 * boot;
 }
 
+/** However far off its own time is: nobody waits longer than this while a machine that fits stands empty. */
+const PATIENT_S = 45;
+
 /** Machines that patient work leaves whole, for work that comes with less time; never an eighth of what there is. */
 const LEFT_WHOLE = 2;
 
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -39,3 +39,53 @@
   const waiting = [...o.world.waiting].length / 2;
   assert.ok(rented > waiting + 10, `${rented} rented for ${waiting} that wait`);
 });
+
+// Work whose own time is far off leaves the last empty machines to work that is wanted soon, but not for long: no job
+// may wait for 90 s while a machine that fits has room.
+test('patient work leaves the last empty machine whole, and takes it once it has waited a while', () => {
+  const wall = new Date(Date.UTC(2030, 0, 1));
+  const at = (s: number): Now => ({ steady: seconds(1000 + s), wall: new Date(wall.getTime() + s * 1000) });
+  const within = seconds(5);
+  const facts = { ...FACTS, objectives: [{ kind: 'wait', class: 'hasty', within, share: 0.9 }] };
+  const o = new Owner(facts, DEFAULTS, {
+    token: 1,
+    began: at(0).steady,
+    contact: at(0).steady,
+    othersQuiet: at(0).steady,
+  });
+  o.handle({ kind: 'types', types: [TYPE] }, at(0));
+  const reports = (s: number, seq: number): void => {
+    o.handle({ kind: 'contact', at: at(s).steady }, at(s));
+    for (let n = 0; n < 17; n++) {
+      const report = {
+        machine: `m${n}`,
+        endpoint: `m${n}:1`,
+        type: 'big',
+        zone: 'east',
+        spot: false,
+        session: 1,
+        seq,
+        token: 1,
+        notice: null,
+        tasks: [],
+      };
+      o.handle({ kind: 'report', report }, at(s));
+      o.answer(report, at(s));
+    }
+  };
+  const submit = (id: string, over: Parameters<typeof spec>[1]): void => {
+    const record = { spec: spec(id, over), submitted: wall, standing: 'open' as const };
+    o.handle({ kind: 'job', id, record, stamp: 5 }, at(0));
+  };
+  reports(0, 1);
+  submit('req-1', { tasks: 16, cpus: 5, kind: 'service', priority: 'production' });
+  submit('req-2', { cpus: 5, due: seconds(2000) });
+  const placed = (): number => o.world.jobs.get('req-2')?.placedCount ?? 0;
+  assert.equal(o.world.jobs.get('req-1')?.placedCount, 16);
+  for (let s = 1; s <= 90 && placed() === 0; s++) {
+    reports(s, s + 1);
+    o.handle({ kind: 'tick' }, at(s));
+    assert.equal(placed(), s > 45 ? 1 : 0, `after ${s} s`);
+  }
+  assert.equal(placed(), 1);
+});
--- /dev/null
+++ b/test/meetings.test.ts
@@ -0,0 +1,279 @@
+import assert from 'node:assert/strict';
+import { after, describe, test } from 'node:test';
+import type { Subscription } from 'rxjs';
+import { call } from './standins/http.js';
+import {
+  freePort,
+  job,
+  makeSite,
+  platform,
+  startController,
+  until,
+  untilHealthy,
+  type Site,
+} from './standins/site.js';
+import { StateStandIn } from './standins/state.js';
+import { Watch } from './standins/worker.js';
+
+// Meetings of two troubles, between whole controllers and a state service on loopback.
+const stops: (() => void)[] = [];
+after(() => {
+  for (const s of stops) s();
+});
+
+const ms = (n: number): Promise<void> => new Promise((done) => setTimeout(done, n));
+
+interface Service {
+  readonly state: StateStandIn;
+  readonly watch: Watch;
+  readonly site: Site;
+  readonly apis: readonly string[];
+  start(n: number): void;
+  end(n: number): void;
+}
+
+async function begin(
+  controllers: number,
+  runMs: (ticket: string) => number | null,
+  workers: Parameters<typeof platform>[4] = {},
+): Promise<Service> {
+  const state = new StateStandIn({ txnOps: 4, valueBytes: 4096 });
+  const watch = new Watch();
+  await state.start();
+  const apis: string[] = [];
+  for (let n = 0; n < controllers; n++) apis.push(`127.0.0.1:${await freePort()}`);
+  const site = await makeSite(apis, watch, runMs);
+  if (workers.lease_s !== undefined) for (const w of site.workers) w.leaseMs = workers.lease_s * 1000;
+  const running = new Map<number, Subscription>();
+  const service: Service = {
+    state,
+    watch,
+    site,
+    apis,
+    start: (n) => {
+      running.set(n, startController(platform(`c${n}`, apis[n] ?? '', site.cloud, state, workers)));
+    },
+    end: (n) => running.get(n)?.unsubscribe(),
+  };
+  stops.push(() => {
+    for (const r of running.values()) r.unsubscribe();
+    site.stop();
+    state.stop();
+  });
+  for (let n = 0; n < controllers; n++) service.start(n);
+  for (const api of apis) await untilHealthy(api);
+  return service;
+}
+
+const standingAt = async (api: string, id: string): Promise<unknown> =>
+  (await call(api, 'GET', `/work/${id}`)).body['standing'];
+
+const text = (b: Record<string, unknown>): string => JSON.stringify(b['writes']);
+
+/** Asks every controller until the end, and notes what was told after the first final state. */
+function listen(s: Service, id: string): { readonly told: Set<unknown>; stop(): Promise<void> } {
+  const told = new Set<unknown>();
+  let over = false;
+  const asking = s.apis.map(async (api) => {
+    while (!over) {
+      const standing = await standingAt(api, id);
+      if (standing === 'done' || standing === 'cancelled') told.add(standing);
+      else if (told.size > 0 && standing !== undefined) told.add(standing);
+      await ms(15);
+    }
+  });
+  return {
+    told,
+    stop: async () => {
+      over = true;
+      await Promise.all(asking);
+    },
+  };
+}
+
+describe('meetings', { concurrency: 6 }, () => {
+  test('a cancellation is carried out behind the end of the last task: done, told alike by all', async () => {
+    const s = await begin(2, () => 200);
+    const [one = '', two = ''] = s.apis;
+    assert.equal((await call(one, 'POST', '/work', job('req-1', { tickets: 2 }))).status, 201);
+    const l = listen(s, 'req-1');
+    s.state.fate = (b) => (text(b).includes('"cancelled"') ? 'slow' : null);
+    s.state.slowMs = 900;
+    const cancelled = call(two, 'POST', '/work/req-1/withdraw');
+    await until('done', async () => ((await standingAt(one, 'req-1')) === 'done' ? true : null));
+    const again = await call(two, 'POST', '/work', job('req-1', { tickets: 0 }));
+    assert.deepEqual([again.status, again.body['standing']], [200, 'done']);
+    const answer = await cancelled;
+    assert.deepEqual([answer.status, answer.body['standing']], [200, 'done']);
+    await ms(300);
+    await l.stop();
+    assert.deepEqual([...l.told], ['done']);
+  });
+
+  test('the end of the last task is committed behind a cancellation: cancelled, told alike by all', async () => {
+    const s = await begin(2, () => 200);
+    const [one = '', two = ''] = s.apis;
+    let ending = false;
+    s.state.fate = (b) => {
+      if (!text(b).includes('"done"')) return null;
+      ending = true;
+      return 'slow';
+    };
+    s.state.slowMs = 600;
+    assert.equal((await call(one, 'POST', '/work', job('req-1', { tickets: 2 }))).status, 201);
+    const l = listen(s, 'req-1');
+    await until('its end', () => Promise.resolve(ending ? true : null));
+    const answer = await call(two, 'POST', '/work/req-1/withdraw');
+    assert.deepEqual([answer.status, answer.body['standing']], [200, 'cancelled']);
+    await ms(900);
+    await l.stop();
+    assert.deepEqual([...l.told], ['cancelled']);
+  });
+
+  test('a transaction without an answer while the follow hangs: the pages it wrote can still be written', async () => {
+    const s = await begin(1, () => 150);
+    const [api = ''] = s.apis;
+    let struck = false;
+    s.state.fate = (b) => {
+      if (struck || !text(b).includes('/page/')) return null;
+      struck = true;
+      s.state.followsHang = true;
+      return 'lost';
+    };
+    assert.equal((await call(api, 'POST', '/work', job('req-1', { tickets: 2 }))).status, 201);
+    await until('the step', () => Promise.resolve(struck ? true : null));
+    const token = (): number => [...s.state.items].find(([k]) => k.includes('/part/'))?.[1].stamp ?? 0;
+    const before = token();
+    await ms(3500);
+    s.state.followsHang = false;
+    await until('done', async () => ((await standingAt(api, 'req-1')) === 'done' ? true : null), 15_000);
+    assert.equal(token(), before, 'the leader went on');
+    assert.deepEqual(s.watch.broken, []);
+  });
+
+  test('all are away for longer than the lease, one is back, killed in its claim, and back at once', async () => {
+    const s = await begin(2, () => null, { lease_s: 1.5, cancel_s: 5 });
+    const [one = '', two = ''] = s.apis;
+    for (const id of ['req-1', 'req-2', 'req-3'])
+      assert.equal((await call(one, 'POST', '/work', job(id))).status, 201);
+    await until('all run', () => Promise.resolve(s.watch.running.size === 3 ? true : null));
+    const r = await call(two, 'POST', '/work/req-1/withdraw');
+    assert.deepEqual([r.status, r.body['standing']], [200, 'cancelled']);
+    const confirmed = process.hrtime.bigint();
+    s.end(0);
+    s.end(1);
+    await until('leases over', () => Promise.resolve(s.watch.running.size === 0 ? true : null), 4500);
+    await ms(500);
+    let claims = 0;
+    s.state.fate = (b) => {
+      if (!text(b).includes('/part/')) return null;
+      claims += 1;
+      return claims === 1 ? 'late' : null;
+    };
+    s.start(0);
+    await until('a claim', () => Promise.resolve(claims > 0 ? true : null), 15_000);
+    s.end(0);
+    s.start(0);
+    await until('both run again', () => Promise.resolve(s.watch.running.size === 2 ? true : null), 20_000);
+    for (const id of ['req-2', 'req-3']) {
+      const look = await call(one, 'GET', `/work/${id}`);
+      assert.deepEqual([look.status, look.body['standing']], [200, 'running'], id);
+    }
+    assert.equal(await standingAt(one, 'req-1'), 'cancelled');
+    assert.ok((s.watch.startedAt.get('req-1/0') ?? 0n) < confirmed, 'started after its cancellation');
+    assert.deepEqual(s.watch.broken, []);
+  });
+
+  test('a start that waits behind a slow call is not sent once its job is cancelled', async () => {
+    const s = await begin(1, () => null);
+    const [api = ''] = s.apis;
+    assert.equal((await call(api, 'POST', '/work', job('req-0', { tickets: 2, gpus: 0 }))).status, 201);
+    await until('the machines are known', () => Promise.resolve(s.watch.running.size === 2 ? true : null));
+    // Calls to the machines are answered late, and they reach no controller: the second start waits behind the first.
+    for (const w of s.site.workers) [w.slowMs, w.mute] = [1200, true];
+    assert.equal((await call(api, 'POST', '/work', job('req-1', { tickets: 3 }))).status, 201);
+    await ms(300);
+    assert.equal((await call(api, 'POST', '/work', job('req-2'))).status, 201);
+    await ms(400);
+    const r = await call(api, 'POST', '/work/req-2/withdraw');
+    assert.deepEqual([r.status, r.body['standing']], [200, 'cancelled']);
+    const confirmed = process.hrtime.bigint();
+    await ms(3000);
+    assert.ok((s.watch.startedAt.get('req-2/0') ?? 0n) <= confirmed, 'started after its cancellation');
+  });
+
+  test('submissions that lack a field or can never run: the same answers everywhere, also before it can decide', async () => {
+    const s = await begin(1, () => null);
+    const [ready = ''] = s.apis;
+    assert.equal((await call(ready, 'POST', '/work', job('req-1', { shape: 'service' }))).status, 201);
+    // A second controller that knows the state service, but no machine types yet.
+    const fresh = `127.0.0.1:${await freePort()}`;
+    const dead = `127.0.0.1:${await freePort()}`;
+    const c = startController(platform('c9', fresh, dead, s.state));
+    stops.push(() => c.unsubscribe());
+    await until('it reads', async () =>
+      (await call(fresh, 'GET', '/work/req-1').catch(() => null))?.status === 200 ? true : null,
+    );
+    const without = (key: string): unknown => {
+      const b = job('req-2');
+      delete b[key];
+      return b;
+    };
+    const malformed: unknown[] = [
+      ...Object.keys(job('req-2')).map(without),
+      ...[{ tickets: 0 }, { tickets: 100_001 }, { tickets: 1.5 }, { tickets: '2' }, { vcpus: -1 }].map((o) =>
+        job('req-2', o),
+      ),
+      ...[{ memGb: Infinity }, { gpus: NaN }, { expectedS: 1e300 }, { shape: 'set' }, { builds: [] }].map(
+        (o) => job('req-2', o),
+      ),
+    ];
+    const never = [
+      { desk: 'nobody' },
+      { shape: 'service', tickets: 5 },
+      { shape: 'ensemble', tickets: 5 },
+      { gpus: 5 },
+    ];
+    const unfit = [{ gpus: 3 }, { vcpus: 9 }, { memGb: 65 }, { builds: ['small'] }, { hall: 'north' }];
+    const answer = async (api: string, body: unknown): Promise<number> =>
+      (await call(api, 'POST', '/work', body)).status;
+    const all = (api: string, bodies: readonly unknown[], want: number): Promise<unknown> =>
+      Promise.all(
+        bodies.map(async (b) => assert.equal(await answer(api, b), want, `${api} ${JSON.stringify(b)}`)),
+      );
+    const as = (id: string, overs: readonly Record<string, unknown>[]): unknown[] =>
+      overs.map((o) => job(id, o));
+    for (const api of [ready, fresh]) {
+      await all(api, malformed, 400);
+      await all(api, as('req-2', never), 422);
+      await all(api, as('req-2', unfit), api === ready ? 422 : 503);
+      // A repeat of an accepted job gets its state, whatever else it says.
+      await all(api, as('req-1', [...never, ...unfit, { tickets: -1 }, { vcpus: 'x' }]), 200);
+      assert.equal((await call(api, 'GET', '/work/req-2')).status, 404);
+      assert.equal((await call(api, 'POST', '/work/req-2/withdraw')).status, 404);
+    }
+    const undecided = await call(fresh, 'POST', '/work', job('req-2'));
+    assert.deepEqual([undecided.status, undecided.retryAfter !== undefined], [503, true]);
+    // What a worker says that cannot be read gets 400, and the controller goes on.
+    for (const recallS of [Infinity, 1e300, -1, 'soon'])
+      assert.equal(
+        (
+          await call(ready, 'POST', '/hello', {
+            rig: 'n-1',
+            endpoint: 'x:1',
+            build: 'big',
+            hall: 'east',
+            loaners: false,
+            shift: 1,
+            tick: 1,
+            baton: 0,
+            recallS,
+            tickets: [],
+          })
+        ).status,
+        400,
+        String(recallS),
+      );
+    assert.equal(await standingAt(ready, 'req-1'), 'running');
+  });
+});
