--- a/test/limits.test.ts
+++ b/test/limits.test.ts
@@ -14,7 +14,16 @@
 import { decode, encode } from '../src/wire/cbor.js';
 import { isReadable, writeJob } from '../src/wire/records.js';
 import { spec } from './player.js';
-import { ownAddress, makeSite, platform, startController, until, untilHealthy } from './standins/site.js';
+import {
+  job,
+  ownAddress,
+  makeSite,
+  platform,
+  startController,
+  until,
+  untilHealthy,
+} from './standins/site.js';
+import { call } from './standins/http.js';
 import { StateStandIn } from './standins/state.js';
 import { Watch } from './standins/worker.js';
 
@@ -155,3 +164,52 @@
     state.stop();
   }
 });
+
+test('a flood of what cannot be taken gets its refusals, and workers are answered meanwhile', async () => {
+  const state = new StateStandIn({ txnOps: 4, valueBytes: 4096 });
+  await state.start();
+  const api = ownAddress();
+  const site = await makeSite([api], new Watch(), () => 150);
+  const p = platform('one', api, site.cloud, state);
+  const limits = { core_share: 0.05, memory_mb: 4000, max_sockets: 400 };
+  const controller = startController({ ...p, facts: { ...p.facts, limits } });
+  const agents = Array.from({ length: 24 }, () => new Agent({ keepAlive: true, maxSockets: 1 }));
+  try {
+    await untilHealthy(api);
+    await until('answers', () => Promise.resolve(site.workers.every((w) => w.token > 0) ? true : null));
+    const bad: readonly [string, unknown][] = [
+      ['/work', Buffer.from([0xff, 0x00, 0x13])],
+      ['/work', Buffer.alloc(70 * 1024, 0x61)],
+      ['/work', { ...job('req-1'), tickets: -1 }],
+      ['/hello', Buffer.from('not a report')],
+      ['/hello', { rig: 'n-000001', shift: 'one' }],
+      ['/work', [1, 2, 3]],
+    ];
+    let going = true;
+    let refused = 0;
+    const flood = agents.map(async (agent) => {
+      for (let n = 0; going; n++) {
+        const [path, body] = bad[n % bad.length] ?? ['/', null];
+        const r = await call(api, 'POST', path, body, agent).catch(() => null);
+        // The oversized one may be cut off before its answer is read.
+        if (r !== null) assert.equal(r.status, 400);
+        refused += r === null ? 0 : 1;
+      }
+    });
+    // Each worker's lease goes on being renewed: an answer to a report sent within the flood.
+    const began = process.hrtime.bigint();
+    await until(
+      'an answer for each worker',
+      () => Promise.resolve(refused > 500 && site.workers.every((w) => w.renewed > began) ? true : null),
+      20_000,
+    );
+    going = false;
+    await Promise.all(flood);
+    assert.equal((await call(api, 'GET', '/work/req-1')).status, 404);
+  } finally {
+    for (const a of agents) a.destroy();
+    controller.unsubscribe();
+    site.stop();
+    state.stop();
+  }
+});
