Requests to the outside systems go straight over net: a client of our own

Cause: node:http's client took several times as long over a request as its content does; after a takeover direct calls and the state service's requests were the largest part of a small core (npm run load, flat profile with _http_agent, ClientRequest, writev at its top). Ruled out: larger pools, since most direct calls are first ones on a connection. One head and body in one write, responses read by hand (length, chunks, until close), the same outcomes as before: unsent only where no connection came about.

--- a/src/edge/cloud.ts
+++ b/src/edge/cloud.ts
@@ -3,7 +3,7 @@
 import { CLOUD_PATHS, listQuery, parseList, parseTypes, rentBody, returnBody } from '../wire/dialect.js';
 import * as schemas from '../wire/schemas.js';
 import { Allowance, pause } from './duty.js';
-import { Client, type Outcome } from './http.js';
+import { HttpClient, type Outcome } from './http-client.js';
 import { jittered } from './jitter.js';
 import { warnSparsely, type Log } from './log.js';
 
@@ -11,7 +11,7 @@
 
 /** The cloud's client. Calls stay below the cloud's limit and are repeated with growing pauses when refused. */
 export class Cloud {
-  private readonly client: Client;
+  private readonly client: HttpClient;
   private readonly allowance: Allowance;
 
   constructor(
@@ -19,7 +19,7 @@
     rps: number,
     private readonly log: Log,
   ) {
-    this.client = new Client(addr, 4);
+    this.client = new HttpClient(addr, 4);
     this.allowance = new Allowance(rps * 0.7, Math.max(1, rps));
   }
 
--- /dev/null
+++ b/src/edge/http-response.ts
@@ -0,0 +1,140 @@
+/** What came back for one request, whole. */
+export interface HttpResponse {
+  readonly status: number;
+  readonly body: Buffer;
+  /** Whether the connection may carry another request. */
+  readonly keepAlive: boolean;
+}
+
+/** The other side sent something that is no HTTP/1.1 response, or one with a head beyond all measure. */
+export class MalformedResponseError extends Error {}
+
+const HEAD_END = Buffer.from('\r\n\r\n');
+const LINE_END = Buffer.from('\r\n');
+const HEAD_LIMIT = 16 * 1024;
+const STATUS_LINE = /^HTTP\/1\.[01] ([1-5]\d\d)(?: |$)/;
+
+/** How the length of a body is known. */
+type Framing =
+  | { readonly kind: 'length'; readonly length: number }
+  | { readonly kind: 'chunked' }
+  /** The body ends with the connection. */
+  | { readonly kind: 'until-close' };
+
+interface Head {
+  readonly status: number;
+  readonly keepAlive: boolean;
+  readonly framing: Framing;
+}
+
+function parseHead(text: string): Head {
+  const [statusLine = '', ...lines] = text.split('\r\n');
+  const match = STATUS_LINE.exec(statusLine);
+  if (match === null) throw new MalformedResponseError('not a status line');
+  const status = Number(match[1]);
+  let keepAlive = statusLine.startsWith('HTTP/1.1');
+  let framing: Framing = { kind: 'until-close' };
+  for (const line of lines) {
+    const colon = line.indexOf(':');
+    const name = line.slice(0, colon).toLowerCase();
+    const value = line.slice(colon + 1).trim();
+    if (name === 'connection') keepAlive = value.toLowerCase() !== 'close';
+    else if (name === 'transfer-encoding') framing = { kind: 'chunked' };
+    else if (name === 'content-length' && framing.kind !== 'chunked') {
+      if (!/^\d{1,15}$/.test(value)) throw new MalformedResponseError('content-length is not a number');
+      framing = { kind: 'length', length: Number(value) };
+    }
+  }
+  if (status === 204 || status === 304) framing = { kind: 'length', length: 0 };
+  return { status, keepAlive, framing };
+}
+
+/** Takes a chunked body apart as it comes. */
+class ChunkedBody {
+  private readonly parts: Buffer[] = [];
+  private trailer = false;
+
+  /** Consumes what is whole of `raw`; tells whether the body is complete and what is left over. */
+  take(raw: Buffer): { readonly complete: boolean; readonly rest: Buffer } {
+    let rest = raw;
+    for (;;) {
+      const lineEnd = rest.indexOf(LINE_END);
+      if (lineEnd < 0) return { complete: false, rest };
+      if (this.trailer) {
+        rest = rest.subarray(lineEnd + LINE_END.length);
+        if (lineEnd === 0) return { complete: true, rest };
+        continue;
+      }
+      const size = Number.parseInt(rest.toString('latin1', 0, lineEnd), 16);
+      if (!Number.isSafeInteger(size) || size < 0) throw new MalformedResponseError('not a chunk size');
+      const dataStart = lineEnd + LINE_END.length;
+      if (size === 0) {
+        this.trailer = true;
+        rest = rest.subarray(dataStart);
+        continue;
+      }
+      if (rest.length < dataStart + size + LINE_END.length) return { complete: false, rest };
+      this.parts.push(rest.subarray(dataStart, dataStart + size));
+      rest = rest.subarray(dataStart + size + LINE_END.length);
+    }
+  }
+
+  get body(): Buffer {
+    return Buffer.concat(this.parts);
+  }
+}
+
+/** Reads one response from the bytes of a connection, however they are cut. */
+export class ResponseReader {
+  private pieces: Buffer[] = [];
+  private size = 0;
+  private head: Head | null = null;
+  private chunked = new ChunkedBody();
+
+  /** Takes in what has come; returns the response once it is whole. */
+  push(data: Buffer): HttpResponse | null {
+    this.pieces.push(data);
+    this.size += data.length;
+    while (this.head === null) {
+      const raw = this.joined();
+      const end = raw.indexOf(HEAD_END);
+      if (end < 0) {
+        if (raw.length > HEAD_LIMIT) throw new MalformedResponseError('the head is too long');
+        return null;
+      }
+      const head = parseHead(raw.toString('latin1', 0, end));
+      this.keep(raw.subarray(end + HEAD_END.length));
+      // 1xx announces the response that follows it.
+      if (head.status >= 200) this.head = head;
+    }
+    return this.body(this.head);
+  }
+
+  /** The connection has ended: that is the end of a body without a length, too early for any other. */
+  close(): HttpResponse | null {
+    if (this.head?.framing.kind !== 'until-close') return null;
+    return { status: this.head.status, body: this.joined(), keepAlive: false };
+  }
+
+  private body(head: Head): HttpResponse | null {
+    const { status, keepAlive, framing } = head;
+    if (framing.kind === 'until-close') return null;
+    if (framing.kind === 'length') {
+      if (this.size < framing.length) return null;
+      return { status, keepAlive, body: this.joined().subarray(0, framing.length) };
+    }
+    const { complete, rest } = this.chunked.take(this.joined());
+    this.keep(rest);
+    return complete ? { status, keepAlive, body: this.chunked.body } : null;
+  }
+
+  private joined(): Buffer {
+    if (this.pieces.length !== 1) this.pieces = [Buffer.concat(this.pieces)];
+    return this.pieces[0] ?? Buffer.alloc(0);
+  }
+
+  private keep(rest: Buffer): void {
+    this.pieces = [rest];
+    this.size = rest.length;
+  }
+}
--- a/src/edge/store.ts
+++ b/src/edge/store.ts
@@ -4,7 +4,7 @@
 import * as schemas from '../wire/schemas.js';
 import { steady } from './clock.js';
 import { duty, pause } from './duty.js';
-import { Client } from './http.js';
+import { HttpClient } from './http-client.js';
 import { jittered } from './jitter.js';
 import { warnSparsely, type Log } from './log.js';
 import { SharedRead } from './shared.js';
@@ -49,8 +49,8 @@
   rev = -1;
   /** Least pause between two follows: each costs a request. The owner of a part follows more closely. */
   followGapMs = 250;
-  private readonly client: Client;
-  private readonly follower: Client;
+  private readonly client: HttpClient;
+  private readonly follower: HttpClient;
   private readonly waiters: { rev: number; resolve: () => void }[] = [];
   /** When a compare was sent, last, to whose revision the copy then came: so new the copy surely was. */
   freshAt = 0n;
@@ -68,8 +68,8 @@
     addr: string,
     private readonly log: Log,
   ) {
-    this.client = new Client(addr, 6);
-    this.follower = new Client(addr, 2);
+    this.client = new HttpClient(addr, 6);
+    this.follower = new HttpClient(addr, 2);
   }
 
   start(): Subscription {
--- a/src/edge/workers.ts
+++ b/src/edge/workers.ts
@@ -2,7 +2,7 @@
 import type { Report } from '../core/model.js';
 import type { Order } from '../core/world.js';
 import { WORKER_PATHS, orders, parseReport } from '../wire/dialect.js';
-import { Client } from './http.js';
+import { HttpClient } from './http-client.js';
 
 export interface DirectJob {
   readonly machine: string;
@@ -27,7 +27,7 @@
 export class Workers {
   private readonly queue = new Subject<DirectJob>();
   /** By endpoint, the one used longest ago first. */
-  private readonly clients = new Map<string, { readonly client: Client; busy: number }>();
+  private readonly clients = new Map<string, { readonly client: HttpClient; busy: number }>();
   private busy = 0;
   private readonly waiting: (() => void)[] = [];
   /** Machines with a question, a command without orders, that waits or is under way. */
@@ -67,10 +67,10 @@
     this.queue.next(j);
   }
 
-  private clientOf(endpoint: string): { readonly client: Client; busy: number } {
+  private clientOf(endpoint: string): { readonly client: HttpClient; busy: number } {
     const known = this.clients.get(endpoint);
     this.clients.delete(endpoint);
-    const entry = known ?? { client: new Client(endpoint, 1), busy: 0 };
+    const entry = known ?? { client: new HttpClient(endpoint, 1), busy: 0 };
     this.clients.set(endpoint, entry);
     for (const [at, c] of this.clients) {
       if (this.clients.size <= this.most) break;
