A leader leaves users to the others while all of them serve, before it falls behind

Cause: it answers all workers, and users' requests cost several times as much as reports; it left them only once it was late. A controller that does not lead also answers reports without reading them: after a takeover it sends hundreds of workers on within seconds.

--- a/src/edge/api.ts
+++ b/src/edge/api.ts
@@ -18,7 +18,7 @@
 import type { Answer, Desk, View } from './desk.js';
 import { Door } from './door.js';
 import { messageOf } from './duty.js';
-import { parseTarget } from './http.js';
+import { parseTarget } from './http-client.js';
 import { warnSparsely, type Log } from './log.js';
 import { Intake, readReports, type ReportAnswer } from './reports.js';
 import type { SocketShares } from './sockets.js';
@@ -31,6 +31,7 @@
   readonly sockets: SocketShares;
   /** The part of a core that we have. */
   readonly coreShare: number;
+  readonly leading: () => boolean;
   /** The owner's answer to a report; null if we are not the owner or may not answer. */
   readonly report: (r: Report) => { token: number; orders: Order[] } | null;
   readonly ownerLabel: () => string | null;
@@ -44,7 +45,7 @@
   res.end(raw);
 }
 
-function sendAnswer(p: ApiParts, res: Response, a: Answer<View>, fresh: number): void {
+function sendAnswer(res: Response, a: Answer<View>, fresh: number): void {
   switch (a.kind) {
     case 'ok':
       send(res, a.fresh ? fresh : 200, jobAnswer(a.value.id, a.value.standing, a.value));
@@ -57,8 +58,6 @@
       break;
     case 'later':
       res.setHeader('retry-after', String(a.seconds));
-      // A user stays on the connection it has: closing it lets the next try come to a controller that can answer.
-      if (!p.healthy()) res.setHeader('connection', 'close');
       send(res, 503, { error: a.why });
       break;
   }
@@ -84,7 +83,8 @@
 ): express.Express {
   const app = express();
   app.use((_req: Request, res: Response, next: NextFunction) => {
-    if (open() > p.sockets.turnsAbove) res.setHeader('connection', 'close');
+    // A user stays on the connection it has: closing it lets the next request come to a controller that is healthy.
+    if (open() > p.sockets.turnsAbove || !p.healthy()) res.setHeader('connection', 'close');
     next();
   });
   // Turned away before its body is read. The load balancer's question is answered all the same.
@@ -112,19 +112,19 @@
     if (id === null) return send(res, 400, { error: spec.ok ? 'ref: invalid' : spec.why });
     const a = await p.desk.submit(id, spec.ok ? spec.value : spec.why);
     if (a.kind === 'never' && !spec.ok) return send(res, 400, { error: a.why });
-    sendAnswer(p, res, a, 201);
+    sendAnswer(res, a, 201);
   });
 
   app.get(`${API_PATHS.jobs}/:id`, async (req, res) => {
     const id = req.params.id;
     if (!isJobId(id)) return send(res, 404, { error: 'no such job' });
-    sendAnswer(p, res, await p.desk.look(id), 200);
+    sendAnswer(res, await p.desk.look(id), 200);
   });
 
   app.post(`${API_PATHS.jobs}/:id/${API_PATHS.cancel}`, async (req, res) => {
     const id = req.params.id;
     if (!isJobId(id)) return send(res, 404, { error: 'no such job' });
-    sendAnswer(p, res, await p.desk.cancel(id), 200);
+    sendAnswer(res, await p.desk.cancel(id), 200);
   });
 
   app.get(API_PATHS.health, (_req, res) => {
@@ -166,6 +166,8 @@
     return plain.body;
   };
   return (raw) => {
+    // Only the leader reads reports: after a takeover the others send hundreds of workers on within seconds.
+    if (!p.leading()) return { status: 421, body: encode(redirect(p.ownerLabel())) };
     let body: unknown;
     try {
       body = decode(raw);
--- a/src/edge/health.ts
+++ b/src/edge/health.ts
@@ -1,26 +1,36 @@
 /** Without a current copy for this long a controller no longer asks for users, whatever the others say. */
-const HEALTH_MS = 15_000;
-/** If another controller has one, it is ours alone that is missing, and users are better served there. */
-const ALONE_MS = 3000;
+const STALE_MS = 15_000;
+/** If another controller has a current copy, it is ours alone that is missing, and users are better served there. */
+const STALE_ALONE_MS = 3000;
 
+/** What a controller's health towards users follows from. */
 export interface Condition {
   /** Jobs can be taken and looked up at all. */
   readonly ready: boolean;
   /** How old the copy of the state service is. */
   readonly copyMs: number;
+  /** We lead, and so answer all workers. */
+  readonly leading: boolean;
   /** We lead, and are late with what workers ask. */
   readonly behind: boolean;
-  /** Another controller was lately answered by the state service: it can serve users. */
-  readonly othersServe: boolean;
+  /** How many other controllers there are. */
+  readonly others: number;
+  /** How many of them were lately answered by the state service: they can serve users. */
+  readonly othersServing: number;
 }
 
+/** With fewer others that serve them, users would hang on a single controller. */
+const ENOUGH_OTHERS = 2;
+
 /**
- * Whether users should come here. The leader alone answers workers: while it is behind with that, and whenever the copy
- * is old here alone, users are better served by the others. Where no other serves them, going away would only keep
- * users out for longer.
+ * Whether users should come here. The leader alone answers workers and places tasks: where all other controllers can
+ * serve users, and there are enough of them, it leaves users to them from the start instead of once it has fallen
+ * behind. A controller whose copy is old here alone is no use to users either. Where no other serves them, going away
+ * would only keep users out for longer.
  */
 export function isHealthy(c: Condition): boolean {
   if (!c.ready) return false;
-  if (c.othersServe) return !c.behind && c.copyMs < ALONE_MS;
-  return c.copyMs < HEALTH_MS;
+  if (c.othersServing === 0) return c.copyMs < STALE_MS;
+  if (c.leading && c.othersServing === c.others && c.others >= ENOUGH_OTHERS) return false;
+  return !c.behind && c.copyMs < STALE_ALONE_MS;
 }
--- a/src/edge/peers.ts
+++ b/src/edge/peers.ts
@@ -3,7 +3,7 @@
 import { FrameReader, statusFrame, type Status } from '../wire/frames.js';
 import { millisSince, steady } from './clock.js';
 import { duty, messageOf, pause } from './duty.js';
-import { parseTarget } from './http.js';
+import { parseTarget } from './http-client.js';
 import { jittered } from './jitter.js';
 import { warnSparsely, type Log } from './log.js';
 
@@ -34,14 +34,20 @@
     private readonly log: Log,
   ) {}
 
-  /** Whether some other controller has lately been answered by the state service. */
-  othersHaveContact(): boolean {
-    for (const h of this.heard.values()) {
-      const age = millisSince(h.at);
-      if (age < RECENT_MS && h.status.contactMs !== null && h.status.contactMs + age < 2 * RECENT_MS)
-        return true;
+  /** How many other controllers there are. */
+  get others(): number {
+    return this.known.length;
+  }
+
+  /** How many other controllers have lately been answered by the state service. */
+  othersServing(): number {
+    let serving = 0;
+    for (const { status, at } of this.heard.values()) {
+      const age = millisSince(at);
+      if (age < RECENT_MS && status.contactMs !== null && status.contactMs + age < 2 * RECENT_MS)
+        serving += 1;
     }
-    return false;
+    return serving;
   }
 
   start(): Subscription {
--- a/src/edge/service.ts
+++ b/src/edge/service.ts
@@ -62,8 +62,10 @@
     isHealthy({
       ready: desk.ready,
       copyMs: millisSince(store.freshAt),
+      leading: owner.term !== null,
       behind: owner.term?.behind === true,
-      othersServe: peers.othersHaveContact(),
+      others: peers.others,
+      othersServing: peers.othersServing(),
     });
 
   const all = new Subscription();
@@ -98,6 +100,7 @@
       healthy,
       sockets,
       coreShare: p.facts.limits?.core_share ?? 1,
+      leading: () => owner.term !== null,
       report: (r) => owner.term?.report(r) ?? null,
       ownerLabel: () => {
         const label = owner.ownerLabel();
