Machines not heard are asked directly only once no more come by themselves

Ruled out: passes (a quarter of the time), reports (20 to 70 ms a second). Machines whose reports come show the token by themselves; the others are asked once none was heard for the first time for 1.5 s, as when an earlier owner keeps them.

--- a/src/core/machines.ts
+++ b/src/core/machines.ts
@@ -11,7 +11,7 @@
 } from './model.js';
 import { mayStart } from './parts.js';
 import type { Free } from './placement.js';
-import { later, seconds, toSeconds, type Now, type Steady } from './time.js';
+import { later, seconds, toSeconds, type Now, type Span, type Steady } from './time.js';
 import { inner, isBehind, mayArrive, note, runKey, stretched, type Order, type World } from './world.js';
 
 /** A report is newer than what is known if its (session, sequence) is larger; late ones say nothing about now. */
@@ -45,6 +45,10 @@
   m.seq = r.seq;
   m.token = r.token;
   m.heard = now.steady;
+  if (m.heardFirst === null) {
+    m.heardFirst = now.steady;
+    w.lastFirstHeard = now.steady;
+  }
   m.notice = r.notice === null ? null : now.steady + r.notice;
   if (r.token >= w.firstToken) m.fenced = true;
   const loose = w.loose.get(m.name);
@@ -560,21 +564,29 @@
 
 /** Machines asked in one go: after a takeover of a large fleet all of them would otherwise be called at once. */
 const FENCE_AT_ONCE = 50;
-/** While the process is behind only this many: the reports that make questions needless come first. */
-const FENCE_BEHIND = 1;
+/** While workers are still finding their way to us, or the process is behind, only so many are called. */
+const FENCE_BUSY = 1;
+/** With no machine heard for the first time for so long, those not heard yet are not on their way by themselves. */
+const FENCE_QUIET = seconds(1.5);
+
+/** How long a machine that reports to us has to show this term's token by itself. */
+const showsTokenWithin = (w: World): Span => (w.facts.report * 5n) / 4n + seconds(1);
 
 /**
- * Asks machines that have not shown this term's token to take it: it is raised before anything else is done. Most show
- * it by themselves in the report after the first that is answered; those with work to do are asked first.
+ * Asks machines that have not shown this term's token to take it: it is raised before anything else is done. A machine
+ * whose reports come shows it by itself in the one after the first that is answered, so it is asked only when it does
+ * not; a direct call costs several times as much as a report. Those with work to do are asked first.
  */
 export function fence(w: World, now: Now): void {
   const asked: Machine[] = [];
   for (const m of w.machines.values()) {
     if (m.fenced || m.endpoint === '' || m.listed === 'booting' || m.listed === 'failed') continue;
     if (m.probedAt !== null && now.steady - m.probedAt < seconds(2)) continue;
+    if (m.heardFirst !== null && now.steady - m.heardFirst < showsTokenWithin(w)) continue;
     asked.push(m);
   }
-  const most = isBehind(w) ? FENCE_BEHIND : FENCE_AT_ONCE;
+  const coming = now.steady - w.lastFirstHeard < FENCE_QUIET;
+  const most = coming || isBehind(w) ? FENCE_BUSY : FENCE_AT_ONCE;
   if (asked.length > most) asked.sort((a, b) => b.intents.size - a.intents.size);
   for (const m of asked.slice(0, most)) {
     m.probedAt = now.steady;
