A machine on its way is told from one that is asked; shorter waits before asking

Cause: answers to direct calls counted as arrivals too, so that a leader whom no worker reports to asked them one by one; and machines that reported were left for longer than a token needs to be shown. The test of the first asking supposed that machines that just reported are asked at once; it is replaced by two that ask more: none of those is asked before it could show the token, all that nobody hears are asked at once.

--- a/src/core/jobs.ts
+++ b/src/core/jobs.ts
@@ -198,7 +198,7 @@
       notice: null,
       answered: w.othersQuiet,
       heard: 0n,
-      heardFirst: null,
+      arrivedAt: null,
       fenced: false,
       deadSession: 0,
       intents: new Map(),
--- a/src/core/machines.ts
+++ b/src/core/machines.ts
@@ -11,13 +11,21 @@
 } from './model.js';
 import { mayStart } from './parts.js';
 import type { Free } from './placement.js';
-import { later, seconds, toSeconds, type Now, type Span, type Steady } from './time.js';
+import { later, seconds, toSeconds, type Now, type Steady } from './time.js';
 import { inner, isBehind, mayArrive, note, runKey, stretched, type Order, type World } from './world.js';
 
 /** A report is newer than what is known if its (session, sequence) is larger; late ones say nothing about now. */
 const isNewer = (m: Machine, r: Report): boolean =>
   r.session > m.session || (r.session === m.session && r.seq > m.seq);
 
+/** A machine found its way to us by itself: it is not in need of being asked. */
+export function onArrival(w: World, name: string, now: Now): void {
+  const m = w.machines.get(name);
+  if (m === undefined || m.arrivedAt !== null) return;
+  m.arrivedAt = now.steady;
+  w.lastArrival = now.steady;
+}
+
 /** Takes in a report, whichever way it came. Exits count even in old ones; absence counts only in new ones. */
 export function onReport(w: World, r: Report, now: Now): void {
   if (r.token > w.token) {
@@ -45,10 +53,6 @@
   m.seq = r.seq;
   m.token = r.token;
   m.heard = now.steady;
-  if (m.heardFirst === null) {
-    m.heardFirst = now.steady;
-    w.lastFirstHeard = now.steady;
-  }
   m.notice = r.notice === null ? null : now.steady + r.notice;
   if (r.token >= w.firstToken) m.fenced = true;
   const loose = w.loose.get(m.name);
@@ -566,11 +570,14 @@
 const FENCE_AT_ONCE = 50;
 /** While workers are still finding their way to us, or the process is behind, only so many are called. */
 const FENCE_BUSY = 1;
-/** With no machine heard for the first time for so long, those not heard yet are not on their way by themselves. */
-const FENCE_QUIET = seconds(1.5);
+/** With no machine arriving for so long, those that have not are not on their way by themselves. */
+const FENCE_QUIET = seconds(1);
 
-/** How long a machine that reports to us has to show this term's token by itself. */
-const showsTokenWithin = (w: World): Span => (w.facts.report * 5n) / 4n + seconds(1);
+/**
+ * How long a machine that reports to us has to show this term's token by itself: a higher token makes it report again
+ * half a second later.
+ */
+const SHOWS_TOKEN = seconds(1.5);
 
 /**
  * Asks machines that have not shown this term's token to take it: it is raised before anything else is done. A machine
@@ -582,10 +589,10 @@
   for (const m of w.machines.values()) {
     if (m.fenced || m.endpoint === '' || m.listed === 'booting' || m.listed === 'failed') continue;
     if (m.probedAt !== null && now.steady - m.probedAt < seconds(2)) continue;
-    if (m.heardFirst !== null && now.steady - m.heardFirst < showsTokenWithin(w)) continue;
+    if (m.arrivedAt !== null && now.steady - m.arrivedAt < SHOWS_TOKEN) continue;
     asked.push(m);
   }
-  const coming = now.steady - w.lastFirstHeard < FENCE_QUIET;
+  const coming = now.steady - w.lastArrival < FENCE_QUIET;
   const most = coming || isBehind(w) ? FENCE_BUSY : FENCE_AT_ONCE;
   if (asked.length > most) asked.sort((a, b) => b.intents.size - a.intents.size);
   for (const m of asked.slice(0, most)) {
--- a/src/core/model.ts
+++ b/src/core/model.ts
@@ -181,8 +181,8 @@
   /** When the last report was answered by us, or when an earlier owner may last have answered one. */
   answered: Steady;
   heard: Steady;
-  /** When this term's owner first heard it; null: not yet. */
-  heardFirst: Steady | null;
+  /** When its first report of its own accord came in this term; null: none has. */
+  arrivedAt: Steady | null;
   /** The worker has shown the token of this term: only our answers reach it, and absence counts. */
   fenced: boolean;
   /** Sessions up to this one are over: their tasks are gone, and nothing starts in them. */
--- a/src/core/owner.ts
+++ b/src/core/owner.ts
@@ -4,6 +4,7 @@
 import {
   dispatch,
   fence,
+  onArrival,
   onDirect,
   onList,
   onReport,
@@ -84,6 +85,7 @@
         break;
       case 'report':
         onReport(w, event.report, now);
+        onArrival(w, event.report.machine, now);
         tidyForgets(w, event.report);
         break;
       case 'direct':
--- a/src/core/world.ts
+++ b/src/core/world.ts
@@ -60,8 +60,8 @@
   /** Last moment at which the state service surely knew us as owner, with a copy that was current. */
   contact: Steady;
   raisedAt: Steady;
-  /** When a machine was last heard for the first time in this term. */
-  lastFirstHeard: Steady;
+  /** When a machine last reported of its own accord for the first time in this term. */
+  lastArrival: Steady;
   /** Jobs that are neither done nor cancelled. */
   readonly open: Set<string>;
   readonly pages: Map<number, Page>;
@@ -143,7 +143,7 @@
     othersQuiet: term.othersQuiet,
     contact: term.contact,
     raisedAt: term.began,
-    lastFirstHeard: term.began,
+    lastArrival: term.began,
     open: new Set(),
     pages: new Map(),
     version: 0,
--- a/test/behind.test.ts
+++ b/test/behind.test.ts
@@ -286,16 +286,42 @@
   }
 });
 
-test('a new owner asks all machines for its token at once, but hardly any while it is behind', () => {
+/** Makes machines known that have not reported, as a takeover does. */
+function listMachines(b: Behind, count: number): void {
+  const names = Array.from({ length: count }, (_, n) => `m${n}`);
+  const machines = names.map((name) => ({
+    ...{ name, endpoint: `${name}:1`, type: 'big', zone: 'east', spot: false },
+    ...{ state: 'running' as const, age: seconds(60) },
+  }));
+  b.owner.handle({ kind: 'list', machines, sent: at(0).steady }, at(0));
+}
+
+test('a new owner asks all machines that nobody hears for its token, but hardly any while it is behind', () => {
   for (const late of [0, 1]) {
     const b = new Behind(40);
-    b.report(0, 0);
+    listMachines(b, 40);
     b.late(late);
-    const asked = direct(b.tick(0.5)).length;
-    assert.equal(asked, late === 0 ? 40 : 1);
+    assert.equal(direct(b.tick(1.2)).length, late === 0 ? 40 : 1);
   }
 });
 
+// Direct calls took most of a small core while hundreds of workers came back by themselves, and their leases ran out.
+test('while workers come by themselves, hardly any machine is asked; those that came are asked only if they must be', () => {
+  const b = new Behind(10);
+  listMachines(b, 40);
+  b.report(1, 0);
+  assert.equal(direct(b.tick(1.5)).length, 1);
+  const asked = direct(b.tick(2.2)).map((e) => (e.kind === 'direct' ? e.machine : ''));
+  assert.equal(asked.length, 29, 'the others that nobody heard, but for the one that was just asked');
+  assert.deepEqual(
+    asked.filter((name) => Number(name.slice(1)) < 10),
+    [],
+  );
+  // They had the token in the answer and should have shown it.
+  const silent = direct(b.tick(2.7)).map((e) => (e.kind === 'direct' ? e.machine : ''));
+  assert.equal(silent.filter((name) => Number(name.slice(1)) < 10).length, 10);
+});
+
 test('while the process is behind, no machine is returned for its silence, and passes are far apart', () => {
   for (const late of [0, 1]) {
     const b = new Behind(8);
