--- a/src/core/cluster-state.ts
+++ b/src/core/cluster-state.ts
@@ -138,10 +138,10 @@
 }
 
 /** The state at the beginning of a term, before anything is read. */
-export function newClusterState(facts: Facts, knobs: OperatorSettings, term: Term): ClusterState {
+export function newClusterState(facts: Facts, settings: OperatorSettings, term: Term): ClusterState {
   return {
     facts,
-    settings: knobs,
+    settings,
     jobs: new Map(),
     machines: new Map(),
     types: new Map(),
--- a/src/core/model.ts
+++ b/src/core/model.ts
@@ -258,7 +258,7 @@
   readonly listLag: Span;
 }
 
-/** Knobs of the design (the paper's symbols) and of what was added to it; operators may set them. */
+/** Parameters of the design (the paper's symbols) and of what was added to it; operators may set them. */
 export interface OperatorSettings {
   readonly alpha: number;
   readonly lambda: number;
--- a/src/core/owner.ts
+++ b/src/core/owner.ts
@@ -86,8 +86,8 @@
   private sweptAt: Steady = 0n;
   private lookedAt: Steady = 0n;
 
-  constructor(facts: Facts, knobs: OperatorSettings, term: Term) {
-    this.state = newClusterState(facts, knobs, term);
+  constructor(facts: Facts, settings: OperatorSettings, term: Term) {
+    this.state = newClusterState(facts, settings, term);
   }
 
   handle(event: Event, now: Now): Effect[] {
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -38,8 +38,8 @@
 }
 
 /** Γ, eq. (18): nothing on an empty machine, doubling with each task held. */
-export function contention(zeta: number, knobs: OperatorSettings): number {
-  return zeta > 0 ? knobs.betaCs + 2 ** (zeta - 1) * knobs.betaRc : 0;
+export function contention(zeta: number, settings: OperatorSettings): number {
+  return zeta > 0 ? settings.betaCs + 2 ** (zeta - 1) * settings.betaRc : 0;
 }
 
 /**
@@ -47,21 +47,21 @@
  * bandwidth (ours; the paper's network delay takes the bandwidth that is free), and one that is under way already has
  * only its rest to come.
  */
-export function imageDelay(spec: Spec, cand: Candidate, knobs: OperatorSettings): number {
+export function imageDelay(spec: Spec, cand: Candidate, settings: OperatorSettings): number {
   if (cand.machine.images.has(spec.image)) return 0;
-  const bandwidth = Math.max(knobs.bandwidth ?? cand.type.fetchGbPerS, EPSILON);
+  const bandwidth = Math.max(settings.bandwidth ?? cand.type.fetchGbPerS, EPSILON);
   const rest = cand.pulls.get(spec.image);
   const sharers = cand.pulls.size + (rest === undefined ? 1 : 0);
   return ((rest ?? spec.imageGb) * sharers) / bandwidth;
 }
 
 /** Ω in seconds for running `c` on the candidate. */
-export function omega(spec: Spec, cand: Candidate, knobs: OperatorSettings): number {
-  const granted = grantedCpu(spec.cpus, cand.r.cpus, knobs.phi);
+export function omega(spec: Spec, cand: Candidate, settings: OperatorSettings): number {
+  const granted = grantedCpu(spec.cpus, cand.r.cpus, settings.phi);
   const processing =
     granted > 0 ? (toSeconds(spec.estimate) * spec.cpus) / granted : toSeconds(spec.estimate);
-  const network = imageDelay(spec, cand, knobs);
-  return knobs.alpha * processing + (1 - knobs.alpha) * network + contention(cand.zeta, knobs);
+  const network = imageDelay(spec, cand, settings);
+  return settings.alpha * processing + (1 - settings.alpha) * network + contention(cand.zeta, settings);
 }
 
 const share = (part: number, whole: number): number => (whole > 0 ? part / whole : 1);
@@ -83,20 +83,20 @@
 export function score(
   spec: Spec,
   cand: Candidate,
-  knobs: OperatorSettings,
+  settings: OperatorSettings,
   steer: (cand: Candidate) => number,
 ): Scored {
-  return { cand, omega: omega(spec, cand, knobs), share: freeShare(cand), steer: steer(cand) };
+  return { cand, omega: omega(spec, cand, settings), share: freeShare(cand), steer: steer(cand) };
 }
 
 /**
  * Algorithm 2: among the candidates within λ of the best Ω, the largest smaller free share. `steer` (ours) narrows the
  * band first: those with the smallest value stay.
  */
-export function pick(rows: readonly Scored[], knobs: OperatorSettings): Scored | null {
+export function pick(rows: readonly Scored[], settings: OperatorSettings): Scored | null {
   let best = Infinity;
   for (const row of rows) if (row.omega < best) best = row.omega;
-  const band = best + knobs.lambda;
+  const band = best + settings.lambda;
   let chosen: Scored | null = null;
   for (const row of rows) {
     if (row.omega > band) continue;
--- a/src/edge/api.ts
+++ b/src/edge/api.ts
@@ -145,7 +145,7 @@
   app.use((e: unknown, _req: Request, res: Response, next: NextFunction) => {
     if (res.headersSent) return next(e);
     const status = (e as { status?: unknown }).status;
-    // Bodies that are too large or cannot be read are the asker's mistake.
+    // Bodies that are too large or cannot be read are the sender's mistake.
     if (typeof status === 'number' && status >= 400 && status < 500)
       return send(res, 400, { error: messageOf(e) });
     warnSparsely(dependencies.log, { error: messageOf(e) }, 'request failed');
@@ -204,10 +204,10 @@
     users.requestTimeout = 15_000;
     const all = new Subscription();
     const intake = new Intake(() => {
-      if (door.reopen())
+      if (listener.reopen())
         dependencies.log.info({ open }, 'the queue of new connections is stale: listening anew');
     }, dependencies.coreShare);
-    const door = new Listener(parseTarget(dependencies.addr), (socket) => {
+    const listener = new Listener(parseTarget(dependencies.addr), (socket) => {
       if (open >= dependencies.sockets.inbound) {
         socket.destroy();
         return;
@@ -229,7 +229,7 @@
       });
       all.add(one);
     });
-    all.add(door.open().subscribe(subscriber));
+    all.add(listener.open().subscribe(subscriber));
     all.add(() => intake.stop());
     all.add(() => users.closeAllConnections());
     return all;
--- a/src/edge/operator-settings.ts
+++ b/src/edge/operator-settings.ts
@@ -62,7 +62,7 @@
 
 /** Reads operators' settings from text; a mistake is a SettingsError with its line. */
 export function parseOperatorSettings(text: string, name: string): OperatorSettings {
-  const knobs: Mutable<OperatorSettings> = { ...DEFAULT_SETTINGS };
+  const settings: Mutable<OperatorSettings> = { ...DEFAULT_SETTINGS };
   let forms: Node[];
   try {
     forms = parse(text);
@@ -92,10 +92,10 @@
       if (parts.length !== 2 || !Number.isFinite(value)) fail(entry, `${key} takes one number`);
       if (value < range.low || value > range.high)
         fail(entry, `${key} must be from ${range.low} to ${range.high}`);
-      range.set(knobs, value);
+      range.set(settings, value);
     }
   }
-  return knobs;
+  return settings;
 }
 
 /** Reads operators' settings from a file; the defaults without one. */
--- a/src/edge/request-handler.ts
+++ b/src/edge/request-handler.ts
@@ -26,7 +26,7 @@
 const SUBMIT_LIMIT_MS = 3500;
 const POLL_LIMIT_MS = 1500;
 const CUT_MS = 3000;
-/** Askers that may wait inside at once; more are refused at the door. */
+/** Requests that may wait inside at once; more are refused at once. */
 const ROOM = 48;
 
 /** What users ask, answered from the followed copy and by guarded writes. Every controller does this. */
@@ -142,7 +142,7 @@
     return cut;
   }
 
-  /** Nothing has been heard of the state service for so long that an asker would only wait in vain. */
+  /** Nothing has been heard of the state service for so long that a user would only wait in vain. */
   private cutOff(): boolean {
     return millisSince(this.store.freshAt) > CUT_MS;
   }
@@ -172,4 +172,4 @@
 
 const ok = (value: View): Answer<View> => ({ kind: 'ok', value, fresh: false });
 const cut: Answer<never> = { kind: 'later', seconds: 1, why: 'the state service does not answer' };
-const busy: Answer<never> = { kind: 'later', seconds: 1, why: 'too many askers' };
+const busy: Answer<never> = { kind: 'later', seconds: 1, why: 'too many requests' };
--- a/src/edge/service.ts
+++ b/src/edge/service.ts
@@ -23,7 +23,7 @@
 /** A controller: everything it does hangs on the subscription that this returns. */
 export function startService(
   p: Platform,
-  knobs: OperatorSettings,
+  settings: OperatorSettings,
   log: Log,
   onFatal: (why: string) => void,
 ): Subscription {
@@ -41,7 +41,7 @@
     p.label,
     incarnation,
     facts,
-    knobs,
+    settings,
     store,
     cloud,
     log,
--- a/src/edge/shared.ts
+++ b/src/edge/shared.ts
@@ -1,8 +1,8 @@
 import { steady } from './clock.js';
 
 /**
- * A read shared by its askers. Whoever comes before the read is sent shares it; whoever comes after waits for the next
- * one, so that each answer is at least as new as its asker. Reads are sent at least `gapMs` apart.
+ * A read shared by those who need it. Whoever comes before the read is sent shares it; whoever comes after waits for the next
+ * one, so that each answer is at least as new as the request. Reads are sent at least `gapMs` apart.
  */
 export class SharedRead<T> {
   private unsent: Promise<T> | null = null;
@@ -20,7 +20,7 @@
 
   private async run(): Promise<T> {
     // Always waits a turn, even with no gap to keep: clearing `unsent` before `ask` has stored it would leave the
-    // finished read there for good, and every later asker would be given its old answer.
+    // finished read there for good, and every later request would be given its old answer.
     const gap = this.gapMs - Number(steady() - this.sentAt) / 1e6;
     await new Promise((r) => setTimeout(r, Math.max(0, gap)));
     this.unsent = null;
--- a/src/edge/store.ts
+++ b/src/edge/store.ts
@@ -45,7 +45,7 @@
 const BARRIER_GAP_MS = 200;
 
 /**
- * The state service's client: a followed copy of all our keys, transactions, leases, and reads as fresh as their asker.
+ * The state service's client: a followed copy of all our keys, transactions, leases, and reads as fresh as the request for them.
  * The copy never goes back; `rev` is the revision up to which it holds every change.
  */
 export class Store {
--- a/src/edge/supervised-task.ts
+++ b/src/edge/supervised-task.ts
@@ -23,7 +23,7 @@
 }
 
 /**
- * A long-lived duty as a subscription: unsubscribing aborts it, an error is logged and the duty begins anew. It lives
+ * A long-lived task as a subscription: unsubscribing aborts it, an error is logged and the task begins anew. It lives
  * as long as its owner holds the subscription.
  */
 export function supervise(
@@ -42,7 +42,7 @@
     .pipe(
       retry({
         delay: (e) => {
-          warnSparsely(log, { error: messageOf(e) }, `duty "${name}" failed and begins anew`);
+          warnSparsely(log, { error: messageOf(e) }, `task "${name}" failed and begins anew`);
           return timer(250);
         },
       }),
--- a/src/main.ts
+++ b/src/main.ts
@@ -20,13 +20,13 @@
   .exitOverride()
   .action((o: Options) => {
     const platform = readPlatform(o.config);
-    const knobs = readOperatorSettings(o.settings);
+    const settings = readOperatorSettings(o.settings);
     if (o.check === true) {
       process.stdout.write('settings are valid\n');
       return;
     }
     const log = makeLog(platform.label);
-    const all = startService(platform, knobs, log, (why) => {
+    const all = startService(platform, settings, log, (why) => {
       process.stderr.write(`pumiceroad: ${why}\n`);
       process.exit(1);
     });
--- a/test/behind.test.ts
+++ b/test/behind.test.ts
@@ -170,8 +170,8 @@
 test('listening anew resets what waits to be taken in, and leaves alone what was taken in', async () => {
   const taken: Socket[] = [];
   const at = parseTarget(ownAddress());
-  const door = new Listener(at, (socket) => taken.push(socket.on('error', () => undefined)));
-  const running = door.open().subscribe();
+  const listener = new Listener(at, (socket) => taken.push(socket.on('error', () => undefined)));
+  const running = listener.open().subscribe();
   const client = (): { readonly socket: Socket; over: boolean } => {
     const c = { socket: connect(at.port, at.host), over: false };
     c.socket.on('error', () => undefined).on('close', () => (c.over = true));
@@ -179,13 +179,13 @@
   };
   const first = client();
   await until('the first', () => Promise.resolve(taken.length === 1 ? true : null));
-  assert.equal(door.reopen(), false, 'not so soon after it was opened');
+  assert.equal(listener.reopen(), false, 'not so soon after it was opened');
   const waiting = Array.from({ length: 6 }, client);
   // Their connections are made; the loop has gone round once, and taken one of them in at the most.
   await new Promise((done) => setImmediate(done));
   const before = taken.length;
   assert.ok(before <= 2);
-  assert.equal(door.reopen(0), true);
+  assert.equal(listener.reopen(0), true);
   await until('resets', () =>
     Promise.resolve(waiting.filter((w) => w.over).length === 7 - before ? true : null),
   );
--- a/test/gap.test.ts
+++ b/test/gap.test.ts
@@ -12,7 +12,7 @@
   untilHealthy,
   type Site,
 } from './standins/site.js';
-import { StateStandIn, type Door } from './standins/state.js';
+import { StateStandIn, type Endpoint } from './standins/state.js';
 import { Watch } from './standins/worker.js';
 
 // The gap between two troubles: the state service refuses the leader alone, the other controller confirms cancellations
@@ -33,8 +33,8 @@
   readonly state: StateStandIn;
   readonly watch: Watch;
   readonly site: Site;
-  readonly leader: { readonly api: string; readonly door: Door };
-  readonly other: { readonly api: string; readonly door: Door };
+  readonly leader: { readonly api: string; readonly endpoint: Endpoint };
+  readonly other: { readonly api: string; readonly endpoint: Endpoint };
 }
 
 /** Two controllers, each with an address of its own at the state service, and two tasks that run for good. */
@@ -51,11 +51,11 @@
     site.stop();
     state.stop();
   });
-  const doors: Door[] = [];
+  const endpoints: Endpoint[] = [];
   for (const [n, api] of apis.entries()) {
-    const door = await state.door();
-    doors.push(door);
-    running.push(startController(platform(`c${n}`, api, site.cloud, door, WORKERS)));
+    const endpoint = await state.endpoint();
+    endpoints.push(endpoint);
+    running.push(startController(platform(`c${n}`, api, site.cloud, endpoint, WORKERS)));
   }
   for (const api of apis) await untilHealthy(api);
   for (const id of ['req-1', 'req-2'])
@@ -63,7 +63,7 @@
   await until('both run', () => Promise.resolve(watch.running.size === 2 ? true : null));
   const part = [...state.items].find(([k]) => k.includes('/part/'));
   const first = (part?.[1].value as { label: string }).label === 'c0' ? 0 : 1;
-  const at = (n: number) => ({ api: apis[n] ?? '', door: doors[n] ?? assert.fail() });
+  const at = (n: number) => ({ api: apis[n] ?? '', endpoint: endpoints[n] ?? assert.fail() });
   return { state, watch, site, leader: at(first), other: at(1 - first) };
 }
 
@@ -85,7 +85,7 @@
   const started = g.watch.startedAt.get('req-1/0') ?? 0n;
   assert.ok(started < confirmed, 'the cancelled task started after the answer');
   g.state.down = false;
-  g.leader.door.refused = false;
+  g.leader.endpoint.refused = false;
   await until('what was not cancelled runs', () =>
     Promise.resolve(g.watch.running.has('req-2/0') ? true : null),
   );
@@ -100,7 +100,7 @@
 describe('the gap between two troubles', { concurrency: 5 }, () => {
   test('the leader is refused alone, another confirms, then nobody is served', async () => {
     const g = await begin();
-    g.leader.door.refused = true;
+    g.leader.endpoint.refused = true;
     await ms(100);
     const confirmed = await confirm(g);
     await ms(200);
@@ -110,13 +110,13 @@
 
   test('the same, and in between the leader is served again for less than a second', async () => {
     const g = await begin();
-    g.leader.door.refused = true;
+    g.leader.endpoint.refused = true;
     const confirmed = await confirm(g);
     await ms(300);
     // It may answer again, but only once it has read the cancellation.
-    g.leader.door.refused = false;
+    g.leader.endpoint.refused = false;
     await ms(700);
-    g.leader.door.refused = true;
+    g.leader.endpoint.refused = true;
     await ms(100);
     g.state.down = true;
     await end(g, confirmed);
@@ -136,7 +136,7 @@
     const g = await begin();
     const token = (): number => [...g.state.items].find(([k]) => k.includes('/part/'))?.[1].stamp ?? 0;
     const before = token();
-    g.leader.door.refused = true;
+    g.leader.endpoint.refused = true;
     await until('another leader', () => Promise.resolve(token() > before ? true : null));
     const confirmed = await confirm(g);
     // Users of the controller that is cut off are refused at once, not told what it remembers.
@@ -152,16 +152,16 @@
     await state.start();
     const api = ownAddress();
     const site = await makeSite([api], watch, () => null);
-    const door = await state.door();
+    const endpoint = await state.endpoint();
     let claimed = 0n;
     state.fate = (b) => {
       if (!JSON.stringify(b).includes('/part/') || claimed > 0n) return null;
       claimed = process.hrtime.bigint();
       // What it followed until then has come through; from here on it is refused, but for this one answer.
-      setTimeout(() => (door.refused = true), 600);
+      setTimeout(() => (endpoint.refused = true), 600);
       return 'held';
     };
-    const controller = startController(platform('one', api, site.cloud, door, WORKERS));
+    const controller = startController(platform('one', api, site.cloud, endpoint, WORKERS));
     stops.push(() => {
       controller.unsubscribe();
       site.stop();
--- a/test/shared.test.ts
+++ b/test/shared.test.ts
@@ -4,7 +4,7 @@
 
 // Guards against stale answers to polls: the first read once stayed in place for good, and a controller cut from the
 // state service went on answering from it (found as `forgotten` and `went_back` on simulated days).
-test('an asker is never given a read that was sent before it came', async () => {
+test('a request is never given a read that was sent before it came', async () => {
   let sent = 0;
   const shared = new SharedRead<number>(5, () => Promise.resolve(++sent));
   assert.equal(await shared.ask(), 1);
--- a/test/standins/state.ts
+++ b/test/standins/state.ts
@@ -7,7 +7,7 @@
 }
 
 /** One of several addresses of the service. Whoever comes by one that is refused gets 503, and its follows wait. */
-export interface Door {
+export interface Endpoint {
   readonly addr: string;
   refused: boolean;
 }
@@ -43,16 +43,16 @@
   constructor(private readonly limits: { txnOps: number; valueBytes: number }) {}
 
   async start(): Promise<void> {
-    this.addr = (await this.door()).addr;
+    this.addr = (await this.endpoint()).addr;
   }
 
   /** A further address, so that the service can refuse one controller alone. */
-  async door(): Promise<Door> {
-    const door = { addr: '', refused: false };
-    const s = await listen((m, u, b) => this.answer(m, u, b as Record<string, unknown>, door));
+  async endpoint(): Promise<Endpoint> {
+    const endpoint = { addr: '', refused: false };
+    const s = await listen((m, u, b) => this.answer(m, u, b as Record<string, unknown>, endpoint));
     this.shut.push(s.close);
-    door.addr = s.addr;
-    return door;
+    endpoint.addr = s.addr;
+    return endpoint;
   }
 
   stop(): void {
@@ -64,11 +64,11 @@
     method: string,
     url: URL,
     body: Record<string, unknown>,
-    door: Door,
+    endpoint: Endpoint,
   ): Reply | Promise<Reply> {
     this.asked += 1;
-    if (url.pathname === '/follow') return this.follow(url, door);
-    if (this.down || door.refused) return { status: 503, body: { error: 'trouble' } };
+    if (url.pathname === '/follow') return this.follow(url, endpoint);
+    if (this.down || endpoint.refused) return { status: 503, body: { error: 'trouble' } };
     if (url.pathname === '/commit') {
       this.commits.push(body);
       const fate = this.fate(body);
@@ -160,10 +160,10 @@
     return { status: 200, body: {} };
   }
 
-  private async follow(url: URL, door: Door): Promise<Reply> {
+  private async follow(url: URL, endpoint: Endpoint): Promise<Reply> {
     const from = Number(url.searchParams.get('from'));
     const holdMs = Number(url.searchParams.get('holdMs') ?? 0);
-    const hidden = (): boolean => this.down || door.refused || this.followsHang;
+    const hidden = (): boolean => this.down || endpoint.refused || this.followsHang;
     const fresh = () => (hidden() ? [] : this.news.filter((n) => n.stamp > from));
     if (fresh().length === 0)
       await new Promise<void>((done) => {
