A page holds no more jobs than a transaction can guard when all of them start

Cause, found by reading the outbox for smaller limits of the state service: each starting job's key is guarded, and a page of 44 one-task jobs that all start in one pass needed more conditions than the 32 of 8 changes; such a page was passed over for ever, and its jobs never ran. Ruled out: splitting the record's write, since a page is written whole.

--- a/src/core/record-pages.ts
+++ b/src/core/record-pages.ts
@@ -50,6 +50,13 @@
 const room = (state: ClusterState): number =>
   state.facts.valueBytes - PAGE_HEAD - state.facts.zones.join(',').length;
 
+/**
+ * Each job that starts has its key guarded when its place is committed. All jobs of a page may start at once, after an
+ * outage or when their machines were lost, and a page must be written whole: with more jobs than a transaction takes
+ * conditions, beside the page's own and the owner's, it could never be written again.
+ */
+const mostChunks = (state: ClusterState): number => 4 * state.facts.txnOps - 3;
+
 /** Services stay for hours and hardly change: beside arrays they would be written again and again. */
 const poolOf = (job: Job): Page['pool'] => (job.spec.kind === 'service' ? 'lasting' : 'passing');
 
@@ -62,6 +69,7 @@
   let bestUsed = -1;
   for (const page of state.pages.values()) {
     if (page.pool !== pool && page.chunks.size > 0) continue;
+    if (page.chunks.size >= mostChunks(state)) continue;
     const used = usedOf(state, page);
     // The fullest page that has room: the fewer pages are written, the sooner each is.
     if (used + need <= room(state) && used > bestUsed) [best, bestUsed] = [page, used];
--- /dev/null
+++ b/test/outbox.test.ts
@@ -0,0 +1,50 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { Owner } from '../src/core/owner.js';
+import { othersQuietFrom } from '../src/core/ownership-timing.js';
+import { seconds, type Now } from '../src/core/time.js';
+import { DEFAULT_SETTINGS } from '../src/edge/operator-settings.js';
+import { FACTS, TYPE, spec } from './player.js';
+
+const at = (s: number): Now => ({
+  steady: seconds(1000 + s),
+  wall: new Date(Date.UTC(2030, 0, 1) + s * 1000),
+});
+
+// After an outage hundreds of one-task jobs are placed in one pass. Each of them has its key guarded when its place is
+// committed, and a page with more of them than a transaction takes conditions could never be written.
+test('however many small jobs start at once, all their places come to be committed', () => {
+  for (const txnOps of [4, 8]) {
+    const began = at(0).steady;
+    const term = { token: 1, began, contact: began, othersQuiet: othersQuietFrom(FACTS, began) };
+    const owner = new Owner({ ...FACTS, txnOps }, DEFAULT_SETTINGS, term);
+    owner.handle({ kind: 'types', types: [{ ...TYPE, cpus: 1000, gpus: 1000, memory: 10_000 }] }, at(0));
+    for (const seq of [1, 2]) {
+      const machine = { machine: 'm1', endpoint: 'm1:1', type: 'big', zone: 'east', spot: false };
+      owner.handle(
+        { kind: 'report', report: { ...machine, session: 1, seq, token: 1, notice: null, tasks: [] } },
+        at(0),
+      );
+    }
+    owner.state.needPass = false;
+    for (let n = 0; n < 240; n++) {
+      const record = { spec: spec(`req-${n}`), submitted: at(0).wall, standing: 'open' as const };
+      owner.state.passedAt = at(100).steady;
+      owner.handle({ kind: 'job', id: `req-${n}`, record, stamp: n + 2 }, at(0));
+    }
+    owner.state.passedAt = began;
+    owner.handle({ kind: 'contact', at: at(1).steady }, at(1));
+    owner.handle({ kind: 'tick' }, at(3));
+    let stamp = 1000;
+    for (let n = 0; n < 200; n++) {
+      const transaction = owner.nextTransaction(at(10));
+      if (transaction === null) break;
+      assert.ok(transaction.jobs.size + transaction.pages.length + 1 <= 4 * txnOps);
+      owner.handle({ kind: 'settled', transaction, stamp: ++stamp }, at(10));
+    }
+    const placed = [...owner.state.jobs.values()].filter((job) => job.placedCount > 0);
+    assert.equal(placed.length, 240);
+    const open = [...owner.state.pages.values()].filter((page) => page.version > page.committed);
+    assert.equal(open.length, 0, `${open.length} pages are never committed with ${txnOps} changes`);
+  }
+});
