--- a/src/edge/request-handler.ts
+++ b/src/edge/request-handler.ts
@@ -7,7 +7,7 @@
 import type { Log } from './log.js';
 import { Counts } from './counts.js';
 import { DependencyIndex } from './dependency-index.js';
-import type { Store } from './store.js';
+import type { Read, Store } from './store.js';
 import { DEPENDENCIES, type Versions } from './versions.js';
 
 /** A job as its user sees it. */
@@ -109,20 +109,24 @@
     const record: JobRecord = { spec, submitted: new Date(), standing: 'open' };
     if (JSON.stringify(writeJob(record)).length > this.facts.valueBytes)
       return this.never(spec.id, 'too many jobs to wait for');
-    if (
-      dependencies.some((id) => !this.store.copy.has(jobKey(id))) &&
-      !(await this.store.fresh(POLL_LIMIT_MS))
-    )
-      return cut;
-    for (const id of dependencies) {
-      const entry = this.store.copy.get(jobKey(id));
-      if (entry === undefined) return this.never(spec.id, `${id} was never accepted`);
-      if (summaryOf(entry.value).kind === 'service')
+    const found = await Promise.all(dependencies.map((id) => this.findDependency(id)));
+    if (found.some((each) => each.kind === 'unread')) return cut;
+    for (const [n, each] of found.entries()) {
+      const id = dependencies[n] ?? '';
+      if (each.kind === 'absent') return this.never(spec.id, `${id} was never accepted`);
+      if (each.kind === 'found' && summaryOf(each.value).kind === 'service')
         return this.never(spec.id, `${id} is a service: it is never done`);
     }
     return null;
   }
 
+  /** A job that another waits for: from the copy, or, if it was accepted elsewhere a moment ago, past it. */
+  private async findDependency(id: string): Promise<Read> {
+    const entry = this.store.copy.get(jobKey(id));
+    if (entry !== undefined) return { kind: 'found', value: entry.value };
+    return this.store.read(jobKey(id), POLL_LIMIT_MS);
+  }
+
   /** Refuses a submission for good, unless it repeats one that was accepted. */
   private async never(id: string, why: string): Promise<Answer<View>> {
     const answer = await this.status(id, SUBMIT_LIMIT_MS);
--- a/src/edge/store.ts
+++ b/src/edge/store.ts
@@ -33,6 +33,12 @@
   readonly stamp: number;
 }
 
+/** What came of reading one key. */
+export type Read =
+  | { readonly kind: 'found'; readonly value: unknown }
+  | { readonly kind: 'absent' }
+  | { readonly kind: 'unread' };
+
 /** A key that changed in the followed copy. */
 export interface Change {
   readonly key: string;
@@ -111,6 +117,17 @@
     return { kind: 'unknown', why };
   }
 
+  /** A key as the state service has it now, past the copy: for what was written elsewhere a moment ago. */
+  async read(key: string, limitMs: number): Promise<Read> {
+    const outcome = await this.client.request('GET', `${STORE_PATHS.keys}/${key}`, undefined, limitMs);
+    if (outcome.kind !== 'answer') return { kind: 'unread' };
+    if (outcome.status === 404) return { kind: 'absent' };
+    const item = schemas.stored.safeParse(outcome.body);
+    if (outcome.status !== 200 || !item.success || !isReadable(key, item.data.value))
+      return { kind: 'unread' };
+    return { kind: 'found', value: item.data.value };
+  }
+
   /** A new lease, or null if none could be had. */
   async grantLease(ttlMs: number): Promise<number | null> {
     const outcome = await this.client.request('POST', STORE_PATHS.holds, { ttlMs }, REQUEST_MS);
--- a/src/wire/schemas.ts
+++ b/src/wire/schemas.ts
@@ -101,6 +101,8 @@
 export const permit = z.object({ permit: count });
 /** The answer to a transaction whose guards failed. */
 export const conflict = z.object({ failed: z.array(z.string()), ledgerRev: count });
+/** The answer to reading one key. */
+export const stored = z.object({ value: z.unknown(), stamp: count });
 /** A key with its value. */
 export const item = z.object({ key: z.string(), value: z.unknown(), stamp: count });
 /** A part of a range of keys. */
--- a/test/standins/state.ts
+++ b/test/standins/state.ts
@@ -84,6 +84,7 @@
       return { status: 504, body: {} };
     }
     if (url.pathname === '/store') return this.list(url);
+    if (url.pathname.startsWith('/store/')) return this.get(url.pathname.slice('/store/'.length));
     if (url.pathname === '/holds') return this.hold(body['ttlMs'] as number);
     const touch = /^\/holds\/(\d+)\/touch$/.exec(url.pathname);
     if (touch !== null) {
@@ -96,6 +97,12 @@
     return { status: 400, body: {} };
   }
 
+  private get(key: string): Reply {
+    const item = this.items.get(key);
+    if (item === undefined) return { status: 404, body: { ledgerRev: this.rev } };
+    return { status: 200, body: { key, value: item.value, stamp: item.stamp } };
+  }
+
   private list(url: URL): Reply {
     const under = url.searchParams.get('under') ?? '';
     const from = url.searchParams.get('from') ?? '';
