--- a/src/core/world.ts
+++ b/src/core/cluster-state.ts
@@ -1,4 +1,4 @@
-import type { Facts, Intent, Job, Knobs, Machine, MachineType, Page } from './model.js';
+import type { Facts, Intent, Job, OperatorSettings, Machine, MachineType, Page } from './model.js';
 import { Quota } from './quota.js';
 import { seconds, type Span, type Steady } from './time.js';
 
@@ -44,9 +44,9 @@
 }
 
 /** Everything the owner of a part knows. One object, changed only by the core's own functions. */
-export interface World {
+export interface ClusterState {
   readonly facts: Facts;
-  readonly knobs: Knobs;
+  readonly settings: OperatorSettings;
   readonly jobs: Map<string, Job>;
   readonly machines: Map<string, Machine>;
   readonly types: Map<string, MachineType>;
@@ -129,10 +129,10 @@
   readonly othersQuiet: Steady;
 }
 
-export function newWorld(facts: Facts, knobs: Knobs, term: Term): World {
+export function newClusterState(facts: Facts, knobs: OperatorSettings, term: Term): ClusterState {
   return {
     facts,
-    knobs,
+    settings: knobs,
     jobs: new Map(),
     machines: new Map(),
     types: new Map(),
@@ -180,7 +180,7 @@
 
 export const runKey = (job: string, task: number, attempt: number): string => `${job}/${task}#${attempt}`;
 
-export function inner<K, V>(outer: Map<string, Map<K, V>>, key: string): Map<K, V> {
+export function innerMap<K, V>(outer: Map<string, Map<K, V>>, key: string): Map<K, V> {
   let m = outer.get(key);
   if (m === undefined) {
     m = new Map();
@@ -189,19 +189,22 @@
   return m;
 }
 
-export function note(
-  w: World,
+export function emitLog(
+  state: ClusterState,
   text: string,
   about: Record<string, unknown>,
   level: 'info' | 'debug' = 'debug',
 ): void {
-  w.effects.push({ kind: 'note', level, text, about });
+  state.effects.push({ kind: 'note', level, text, about });
 }
 
 /** Whether some copy of the intent's `run` may still reach its machine. */
-export function mayArrive(w: World, i: Intent): boolean {
-  const key = runKey(i.job, i.task, i.attempt);
-  return w.loose.get(i.machine)?.has(key) === true || (w.flying.get(i.machine)?.get(key) ?? 0) > 0;
+export function mayArrive(state: ClusterState, intent: Intent): boolean {
+  const key = runKey(intent.job, intent.task, intent.attempt);
+  return (
+    state.loose.get(intent.machine)?.has(key) === true ||
+    (state.flying.get(intent.machine)?.get(key) ?? 0) > 0
+  );
 }
 
 const BEHIND = seconds(0.1);
@@ -211,7 +214,7 @@
  * share of a core a takeover brings more at once than can be done at once; direct calls, each of which costs several
  * times as much as a report, then took the time in which the reports should have been answered, and leases ran out.
  */
-export const isBehind = (w: World): boolean => w.lateness > BEHIND;
+export const isBehind = (state: ClusterState): boolean => state.lateness > BEHIND;
 
 export const DRIFT_SHARE = 1000n; // clocks differ by 0.05%; twice that, as a share of the span
-export const stretched = (s: Span): Span => s + s / DRIFT_SHARE;
+export const withDrift = (s: Span): Span => s + s / DRIFT_SHARE;
--- a/src/core/foresight.ts
+++ b/src/core/demand-forecast.ts
@@ -1,13 +1,13 @@
 import type { Job, MachineType } from './model.js';
-import { estimateOf } from './pass.js';
+import { estimateOf } from './urgency.js';
 import { toSeconds, wallSeconds, type Now } from './time.js';
-import type { World } from './world.js';
+import type { ClusterState } from './cluster-state.js';
 
 /**
  * What work will come and end while a machine boots. Renting only for what waits already makes all that comes in the
  * meantime wait for a whole boot too, however steadily it comes.
  */
-export interface Foresight {
+export interface DemandForecast {
   /** Machines' worth of work that comes and that ends until a machine rented now is up. */
   readonly comes: number;
   readonly ends: number;
@@ -28,8 +28,9 @@
   return Math.max(cpus / type.cpus, type.gpus > 0 ? gpus / type.gpus : 0, memory / type.memory);
 }
 
-const typeFor = (w: World, job: Job): MachineType | undefined => {
-  for (const t of w.types.values()) if (job.spec.types === null || job.spec.types.includes(t.name)) return t;
+const typeFor = (state: ClusterState, job: Job): MachineType | undefined => {
+  for (const type of state.types.values())
+    if (job.spec.types === null || job.spec.types.includes(type.name)) return type;
   return undefined;
 };
 
@@ -37,18 +38,18 @@
  * The rate is counted from the times of submission, which a new owner knows as well. The fullest bins are left out:
  * what comes all at once, as when a day begins, tells nothing of what comes next.
  */
-export function foresee(w: World, now: Now): Foresight {
+export function forecastDemand(state: ClusterState, now: Now): DemandForecast {
   let boot = 0;
-  for (const t of w.types.values()) boot = Math.max(boot, toSeconds(t.boot));
+  for (const type of state.types.values()) boot = Math.max(boot, toSeconds(type.boot));
   const bins = new Array<number>(BINS).fill(0);
   let earliest = 0;
   let sample: Job | null = null;
   let ends = 0;
-  for (const job of w.jobs.values()) {
+  for (const job of state.jobs.values()) {
     if (job.spec.kind === 'service') continue;
     const age = Math.max(0, wallSeconds(job.submitted, now.wall));
     earliest = Math.max(earliest, age);
-    const type = typeFor(w, job);
+    const type = typeFor(state, job);
     if (type === undefined) continue;
     const share = shareOf(job, type);
     const bin = Math.floor(age / BIN_S);
@@ -56,7 +57,7 @@
       bins[bin] = (bins[bin] ?? 0) + share * job.spec.tasks;
       if (job.standing !== 'cancelled' && (sample === null || job.submitted > sample.submitted)) sample = job;
     }
-    if (job.placedCount > 0) ends += share * endingIn(w, job, boot, now);
+    if (job.placedCount > 0) ends += share * endingIn(state, job, boot, now);
   }
   const seen = Math.min(BINS, Math.floor(earliest / BIN_S) + 1);
   if (seen < LEAST_BINS) return { comes: 0, ends, sample };
@@ -66,11 +67,12 @@
 }
 
 /** How many of the job's placed tasks should end within so many seconds. */
-function endingIn(w: World, job: Job, within: number, now: Now): number {
-  const estimate = estimateOf(w, job);
+function endingIn(state: ClusterState, job: Job, within: number, now: Now): number {
+  const estimate = estimateOf(state, job);
   let n = 0;
   for (const chunk of job.chunks.values())
-    for (const i of chunk.intents.values())
-      if (i.runningSince !== null && estimate - toSeconds(now.steady - i.runningSince) < within) n += 1;
+    for (const intent of chunk.intents.values())
+      if (intent.runningSince !== null && estimate - toSeconds(now.steady - intent.runningSince) < within)
+        n += 1;
   return n;
 }
--- /dev/null
+++ b/src/core/failure-detector.ts
@@ -0,0 +1,120 @@
+import { graceFor } from './preemption.js';
+import { intentsOf, stopIntent } from './intents.js';
+import type { Machine } from './model.js';
+import { estimateOf } from './urgency.js';
+import { seconds, toSeconds, type Now, type Span } from './time.js';
+import { isBehind, emitLog, type ClusterState } from './cluster-state.js';
+
+/** How long a worker may be silent before it is suspected: reports come up to a quarter late, and packets get lost. */
+const suspectAfter = (state: ClusterState): Span => (state.facts.report * 5n) / 2n + seconds(1);
+/** How long after that it has to answer a direct call. */
+const LAST_WORD = seconds(2.5);
+
+const holdsReplica = (state: ClusterState, machine: Machine): boolean =>
+  [...machine.intents.values()].some((intent) => state.jobs.get(intent.job)?.spec.kind === 'service');
+
+const known = (state: ClusterState): Machine[] =>
+  [...state.machines.values()].filter(
+    (machine) => machine.fenced && !machine.returning && machine.listed !== 'failed' && machine.session > 0,
+  );
+
+/** So many machines silent at once that it is more likely we who are cut off: none of them is returned then. */
+export function manySilent(state: ClusterState, now: Now): boolean {
+  const all = known(state);
+  const silent = all.filter((machine) => now.steady - machine.heard > suspectAfter(state)).length;
+  return silent > Math.max(1, all.length / 5);
+}
+
+/**
+ * An owner that still has the state service but hears hardly any worker keeps their leases from being renewed by
+ * anybody: the other controllers send the workers back to it. It gives the part up, in time for another to answer
+ * before the leases end.
+ */
+export function isDeaf(state: ClusterState, now: Now): boolean {
+  if (now.steady - state.began < state.facts.lease / 2n) return false;
+  const all = known(state);
+  const silent = all.filter((machine) => now.steady - machine.heard > suspectAfter(state)).length;
+  return all.length >= 3 && silent * 4 >= all.length * 3;
+}
+
+/**
+ * Machines that fell silent with replicas on them. Waiting for the lease would leave users without those replicas, so
+ * the machine is asked directly and, if it has no last word, returned: that proves its tasks gone. When many fall
+ * silent together it is more likely that we are cut off, and nothing is returned: their leases decide.
+ */
+export function returnSilent(state: ClusterState, now: Now): string[] {
+  // In a process that is behind, what is missing may well be here and not yet looked at.
+  if (isBehind(state)) return [];
+  const after = suspectAfter(state);
+  const out = neverHeard(state, now);
+  if (now.steady - state.began < after + state.facts.report * 2n || manySilent(state, now)) return out;
+  const silent = known(state).filter(
+    (machine) => machine.session > machine.deadSession && now.steady - machine.heard > after,
+  );
+  for (const machine of silent) {
+    if (!holdsReplica(state, machine)) continue;
+    if (now.steady - machine.heard > after + LAST_WORD) out.push(machine.name);
+    else state.effects.push({ kind: 'direct', machine: machine.name, session: machine.session, orders: [] });
+  }
+  return out;
+}
+
+/**
+ * Machines with recorded replicas that this owner never heard, while it heard nearly all others with work. An earlier
+ * owner may have answered them until shortly before it ended and long after, so their leases prove nothing for most of
+ * a minute; a machine that is cut off around a takeover would leave its users without replicas for all that time.
+ */
+function neverHeard(state: ClusterState, now: Now): string[] {
+  if (now.steady - state.began < suspectAfter(state) + state.facts.report * 2n) return [];
+  let working = 0;
+  const never: Machine[] = [];
+  for (const machine of state.machines.values()) {
+    if (machine.intents.size === 0) continue;
+    working += 1;
+    if (machine.heard === 0n && !machine.returning) never.push(machine);
+  }
+  if (never.length > Math.max(1, working / 5)) return [];
+  return never.filter((machine) => holdsReplica(state, machine)).map((machine) => machine.name);
+}
+
+const PROBE = seconds(3);
+
+/** A machine that nothing reaches is asked directly now and then: an answer shows that it can be reached again. */
+export function probeDeaf(state: ClusterState, now: Now): void {
+  for (const machine of state.machines.values()) {
+    if (machine.deafSince === null || machine.returning || machine.endpoint === '' || machine.session === 0)
+      continue;
+    if (machine.probedAt !== null && now.steady - machine.probedAt < PROBE) continue;
+    machine.probedAt = now.steady;
+    state.effects.push({ kind: 'direct', machine: machine.name, session: machine.session, orders: [] });
+  }
+}
+
+/** Tasks on a machine that is about to be taken: what will not be done by then saves in time and goes elsewhere. */
+export function actOnNotices(state: ClusterState, now: Now): void {
+  for (const machine of state.machines.values()) {
+    if (machine.notice === null || !machine.fenced) continue;
+    const left = toSeconds(machine.notice - now.steady);
+    for (const intent of [...machine.intents.values()]) {
+      const job = state.jobs.get(intent.job);
+      if (job === undefined || intent.stopping !== null) continue;
+      const ran = intent.runningSince === null ? 0 : toSeconds(now.steady - intent.runningSince);
+      const ends =
+        intent.runningSince !== null &&
+        job.spec.kind !== 'service' &&
+        estimateOf(state, job) - ran < left - 2;
+      const grace = graceFor(job);
+      // A notice may be half its nominal length: what has to save is stopped while there surely is time.
+      if (ends && left > grace + 2) continue;
+      emitLog(
+        state,
+        'stopped ahead of a spot notice',
+        { task: `${intent.job}/${intent.task}`, machine: machine.name, left },
+        'info',
+      );
+      if (job.spec.kind === 'gang')
+        for (const other of intentsOf(job)) stopIntent(state, other, grace, 'notice', now.steady);
+      else stopIntent(state, intent, grace, 'notice', now.steady);
+    }
+  }
+}
--- /dev/null
+++ b/src/core/fleet-size.ts
@@ -0,0 +1,142 @@
+/** @file Which machines to keep, and which to close and return. */
+import { freeOn, isUsable } from './capacity.js';
+import { type ClusterState, NO_ROOM_FOR_ALL } from './cluster-state.js';
+import { manySilent } from './failure-detector.js';
+import { leaseEnd } from './leases.js';
+import type { Job, Machine, MachineType } from './model.js';
+import { NO_ROOM, ROOM_IS_MADE } from './placement-pass.js';
+import { estimateOf } from './urgency.js';
+import type { Free } from './placement.js';
+import { type Now, seconds, toSeconds } from './time.js';
+
+const LEAST_CHARGE = seconds(60);
+
+/**
+ * Chooses the machines to keep: enough for what is in use plus a reserve, those that cannot be emptied soon and the
+ * cheap ones first. The rest is closed: the scheme's pick spreads tasks over all machines, and without this none would
+ * ever be empty and all would be paid for.
+ */
+export function closeSome(state: ClusterState, blocked: readonly Job[], now: Now): void {
+  const rows: { m: Machine; used: number; held: number; price: number }[] = [];
+  let inUse = 0;
+  for (const machine of state.machines.values()) {
+    const type = state.types.get(machine.type);
+    if (type === undefined || !isUsable(state, machine, now.steady)) continue;
+    const r = freeOn(state, machine);
+    const used = shareTaken(type, r);
+    inUse += used;
+    rows.push({
+      m: machine,
+      used,
+      held: heldFor(state, machine, now),
+      price: machine.spot ? type.spotPrice : type.price,
+    });
+  }
+  rows.sort(
+    (a, b) => b.held - a.held || a.price - b.price || b.used - a.used || (a.m.name < b.m.name ? -1 : 1),
+  );
+
+  const want = inUse + Math.max(spareFor(inUse, state.settings.reserve), 1);
+  // Only work that lacks room is a reason to keep machines: one job that waits for something else kept a whole fleet.
+  const short = blocked.some((job) => lacksRoom(job));
+  let kept = 0;
+  for (const row of rows) {
+    row.m.closed = !short && kept >= want;
+    kept += 1;
+  }
+}
+
+const lacksRoom = (job: Job): boolean =>
+  job.waitReason === NO_ROOM || job.waitReason === NO_ROOM_FOR_ALL || job.waitReason === ROOM_IS_MADE;
+
+/** Up to so many machines in use the reserve is a fixed share of them. */
+const RESERVE_FULL = 30;
+
+const RESERVE_EXPONENT = 0.65;
+
+/**
+ * Machines kept beyond those in use. The more work there is, the more its ups and downs even out, so the share that is
+ * needed falls with the size of the fleet.
+ */
+export function spareFor(inUse: number, reserve: number): number {
+  if (inUse <= RESERVE_FULL) return inUse * reserve;
+  return RESERVE_FULL * reserve * (inUse / RESERVE_FULL) ** RESERVE_EXPONENT;
+}
+
+/** How hard a machine is to empty: replicas stay for good, gangs for long, arrays end soon. */
+function heldFor(state: ClusterState, machine: Machine, now: Now): number {
+  let held = 0;
+  for (const intent of machine.intents.values()) {
+    const job = state.jobs.get(intent.job);
+    if (job === undefined) continue;
+    const left = Math.max(
+      estimateOf(state, job) -
+        (intent.runningSince === null ? 0 : toSeconds(now.steady - intent.runningSince)),
+      0,
+    );
+    held = Math.max(held, job.spec.kind === 'service' ? 3 : left > LONG_S ? 2 : 0);
+  }
+  return held;
+}
+
+/** A task with more than this to go keeps its machine from being emptied soon. */
+const LONG_S = 60;
+
+/** The largest share of anything that is taken on a machine with so much free. */
+export const shareTaken = (type: MachineType, r: Readonly<Free>): number =>
+  1 - Math.min(r.cpus / type.cpus, type.gpus > 0 ? r.gpus / type.gpus : 1, r.memory / type.memory);
+
+/** Machines with no task and no intent that nothing waits for, and those that never come up. */
+export function returns(state: ClusterState, now: Now): { names: string[]; why: string }[] {
+  const by = new Map<string, string[]>();
+  const many = manySilent(state, now);
+  for (const machine of state.machines.values()) {
+    if (machine.returning || machine.intents.size > 0 || machine.seen.size > 0) {
+      machine.idleSince = null;
+      continue;
+    }
+    const why = uselessBecause(state, machine, many, now) ?? idleBecause(state, machine, now);
+    if (why !== null) by.set(why, [...(by.get(why) ?? []), machine.name]);
+  }
+  return [...by].flatMap(([why, names]) => {
+    const calls: { names: string[]; why: string }[] = [];
+    for (let n = 0; n < names.length; n += RETURN_AT_ONCE)
+      calls.push({ names: names.slice(n, n + RETURN_AT_ONCE), why });
+    return calls;
+  });
+}
+
+/** The cloud takes no more names in one request. */
+const RETURN_AT_ONCE = 100;
+
+function idleBecause(state: ClusterState, machine: Machine, now: Now): string | null {
+  if (machine.session === 0) return null;
+  machine.idleSince ??= now.steady;
+  // A machine costs at least its first minute: until then it may as well stay.
+  const due =
+    now.steady - machine.idleSince >= state.settings.idle && now.steady - machine.firstKnown >= LEAST_CHARGE;
+  return machine.closed && machine.fenced && due ? 'idle' : null;
+}
+
+function uselessBecause(state: ClusterState, machine: Machine, many: boolean, now: Now): string | null {
+  if (machine.listed === 'failed') return 'failed';
+  if (machine.session > 0 && machine.setAside) return 'set aside';
+  // It can do no work and is paid for; twice a lease is enough for a cut that passes.
+  if (machine.deafSince !== null && now.steady - machine.deafSince > state.facts.lease * 2n && !many)
+    return 'cannot be reached';
+  const gone =
+    machine.session > 0 &&
+    now.steady - machine.heard > state.facts.lease * 2n &&
+    now.steady > leaseEnd(state, machine);
+  if (gone && !many) return 'silent';
+  const booting = state.booting.get(machine.name);
+  const type = state.types.get(machine.type);
+  if (
+    machine.session === 0 &&
+    booting !== undefined &&
+    type !== undefined &&
+    now.steady - booting.since > type.boot * 5n
+  )
+    return 'never came up';
+  return null;
+}
--- a/src/core/gangs.ts
+++ b/src/core/gangs.ts
@@ -1,22 +1,23 @@
-import { chunkOf, place } from './jobs.js';
+import { chunkOf } from './chunks.js';
+import { place } from './intents.js';
 import type { Intent, Job, Machine, Spec } from './model.js';
-import { fits, imageDelay, machineAllowed, pick, score, type Candidate, type Scored } from './placement.js';
-import { add } from './preempt.js';
+import { fitsIn, imageDelay, machineAllowed, pick, score, type Candidate, type Scored } from './placement.js';
+import { add } from './preemption.js';
 import { toSeconds, type Steady } from './time.js';
-import type { World } from './world.js';
+import type { ClusterState } from './cluster-state.js';
 
-export type Steer = (w: World, job: Job, c: Candidate) => number;
+export type Steer = (state: ClusterState, job: Job, candidate: Candidate) => number;
 
 /** The next attempt number for a whole gang: above all that any of its chunks has given out. */
 export function nextAttempt(job: Job): number {
   let highest = 0;
-  for (const c of job.chunks.values()) highest = Math.max(highest, c.attempt);
+  for (const chunk of job.chunks.values()) highest = Math.max(highest, chunk.attempt);
   return highest + 1;
 }
 
 /** Places all of a gang's tasks in one pass, or none. Zones are tried one by one where they must be the same. */
 export function placeGang(
-  w: World,
+  state: ClusterState,
   job: Job,
   candidates: readonly Candidate[],
   now: Steady,
@@ -24,21 +25,23 @@
 ): Intent[] | null {
   const spec = job.spec;
   const allowed = candidates.filter(
-    (c) => machineAllowed(spec, c.machine) && !job.failedOn.has(c.machine.name),
+    (candidate) => machineAllowed(spec, candidate.machine) && !job.failedOn.has(candidate.machine.name),
   );
-  const zones = spec.oneZone ? [...new Set(allowed.map((c) => c.machine.zone))].sort() : [null];
+  const zones = spec.oneZone
+    ? [...new Set(allowed.map((candidate) => candidate.machine.zone))].sort()
+    : [null];
   let best: { plan: Machine[]; last: number } | null = null;
   for (const zone of zones) {
-    const open = allowed.filter((c) => zone === null || c.machine.zone === zone);
-    const plan = inStep(w, job, open, steer);
+    const open = allowed.filter((candidate) => zone === null || candidate.machine.zone === zone);
+    const plan = inStep(state, job, open, steer);
     // The gang starts when its last image is there.
     if (plan !== null && (best === null || plan.last < best.last)) best = plan;
   }
   if (best === null) return null;
   const attempt = nextAttempt(job);
-  return best.plan.map((m, task) => {
+  return best.plan.map((machine, task) => {
     chunkOf(job, task);
-    return place(w, job, task, attempt, m, now);
+    return place(state, job, task, attempt, machine, now);
   });
 }
 
@@ -50,22 +53,25 @@
  * fetched theirs, and the whole attempt with it. If there is none, any plan: what is fetched helps the next attempt.
  */
 function inStep(
-  w: World,
+  state: ClusterState,
   job: Job,
   open: readonly Candidate[],
   steer: Steer,
 ): { plan: Machine[]; last: number } | null {
-  const delays = new Map(open.map((c) => [c.machine, imageDelay(job.spec, c, w.knobs)]));
-  const lastOf = (plan: readonly Machine[]): number => Math.max(...plan.map((m) => delays.get(m) ?? 0));
-  const plan = planIn(w, job, open, steer);
+  const delays = new Map(
+    open.map((candidate) => [candidate.machine, imageDelay(job.spec, candidate, state.settings)]),
+  );
+  const lastOf = (plan: readonly Machine[]): number =>
+    Math.max(...plan.map((machine) => delays.get(machine) ?? 0));
+  const plan = planIn(state, job, open, steer);
   if (plan === null) return null;
   const last = lastOf(plan);
-  const apart = toSeconds(w.facts.gangWait) * APART;
-  if (plan.every((m) => last - (delays.get(m) ?? 0) <= apart)) return { plan, last };
+  const apart = toSeconds(state.facts.gangWait) * APART;
+  if (plan.every((machine) => last - (delays.get(machine) ?? 0) <= apart)) return { plan, last };
   const late = planIn(
-    w,
+    state,
     job,
-    open.filter((c) => last - (delays.get(c.machine) ?? 0) <= apart),
+    open.filter((candidate) => last - (delays.get(candidate.machine) ?? 0) <= apart),
     steer,
   );
   return late === null ? { plan, last } : { plan: late, last: lastOf(late) };
@@ -77,34 +83,46 @@
   row: Scored;
 }
 
-function planIn(w: World, job: Job, candidates: readonly Candidate[], steer: Steer): Machine[] | null {
+function planIn(
+  state: ClusterState,
+  job: Job,
+  candidates: readonly Candidate[],
+  steer: Steer,
+): Machine[] | null {
   const spec = job.spec;
   if (holds(spec, candidates) < spec.tasks) return null;
-  const one = (c: Candidate): number => steer(w, job, c);
+  const one = (candidate: Candidate): number => steer(state, job, candidate);
   let trial: Trial[] = candidates.map((at) => ({
     at,
-    row: score(spec, { ...at, r: { ...at.r }, room: { ...at.room }, pulls: new Map(at.pulls) }, w.knobs, one),
+    row: score(
+      spec,
+      { ...at, r: { ...at.r }, room: { ...at.room }, pulls: new Map(at.pulls) },
+      state.settings,
+      one,
+    ),
   }));
   const inZone = new Map<string, number>();
   const plan: Machine[] = [];
   for (let t = 0; t < spec.tasks; t++) {
     const open = spec.spread
-      ? trial.filter((x) => (inZone.get(x.at.machine.zone) ?? 0) + 1 <= Math.ceil(spec.tasks / 2))
+      ? trial.filter((trial) => (inZone.get(trial.at.machine.zone) ?? 0) + 1 <= Math.ceil(spec.tasks / 2))
       : trial;
     const chosen = pick(
-      open.map((x) => x.row),
-      w.knobs,
+      open.map((trial) => trial.row),
+      state.settings,
     );
     if (chosen === null) return null;
-    const c = chosen.cand;
-    add(c.r, job, -1);
-    add(c.room, job, -1);
-    c.zeta += 1;
-    if (!c.machine.images.has(spec.image) && !c.pulls.has(spec.image)) c.pulls.set(spec.image, spec.imageGb);
-    if (fits(spec, c.r) && fits(spec, c.room)) Object.assign(chosen, score(spec, c, w.knobs, one));
-    else trial = trial.filter((x) => x.row !== chosen);
-    inZone.set(c.machine.zone, (inZone.get(c.machine.zone) ?? 0) + 1);
-    plan.push(c.machine);
+    const candidate = chosen.cand;
+    add(candidate.r, job, -1);
+    add(candidate.room, job, -1);
+    candidate.zeta += 1;
+    if (!candidate.machine.images.has(spec.image) && !candidate.pulls.has(spec.image))
+      candidate.pulls.set(spec.image, spec.imageGb);
+    if (fitsIn(spec, candidate.r) && fitsIn(spec, candidate.room))
+      Object.assign(chosen, score(spec, candidate, state.settings, one));
+    else trial = trial.filter((trial) => trial.row !== chosen);
+    inZone.set(candidate.machine.zone, (inZone.get(candidate.machine.zone) ?? 0) + 1);
+    plan.push(candidate.machine);
   }
   return plan;
 }
--- a/src/core/model.ts
+++ b/src/core/model.ts
@@ -1,4 +1,4 @@
-import type { ChunkImage } from './jobs.js';
+import type { ChunkRecord } from './chunks.js';
 import type { Free } from './placement.js';
 import type { Span, Steady } from './time.js';
 
@@ -91,7 +91,7 @@
   version: number;
   committed: number;
   /** As last written out; null: changed since. */
-  image: ChunkImage | null;
+  record: ChunkRecord | null;
 }
 
 export interface Job {
@@ -247,7 +247,7 @@
 }
 
 /** Knobs of the design (the paper's symbols) and of what was added to it; operators may set them. */
-export interface Knobs {
+export interface OperatorSettings {
   readonly alpha: number;
   readonly lambda: number;
   readonly betaCs: number;
--- a/src/core/owner.ts
+++ b/src/core/owner.ts
@@ -1,30 +1,41 @@
-import { foresee } from './foresight.js';
-import { closeSome, logRent, onRefused, rentals, returns } from './fleet.js';
-import { intentsOf, machineOf, onJob, onPage } from './jobs.js';
-import {
-  dispatch,
-  fence,
-  onArrival,
-  onDirect,
-  onList,
-  onReport,
-  onReturned,
-  ordersFor,
-  reapSilent,
-  tidyForgets,
-  useImage,
-  wantsHigherToken,
-  freeOn,
-  usable,
-} from './machines.js';
-import type { Facts, Intent, Job, JobRecord, Knobs, Listed, MachineType, Report } from './model.js';
+import { forecastDemand } from './demand-forecast.js';
+import { closeSome, returns } from './fleet-size.js';
+import { logRent, onRefused, rentals } from './rentals.js';
+import { intentsOf } from './intents.js';
+import { machineOf } from './machine-registry.js';
+import { onJob, onPage } from './loading.js';
+import { dispatch, onDirect, ordersFor, tidyForgets } from './orders.js';
+import { fence, wantsHigherToken } from './fencing.js';
+import { onArrival, onReport } from './reports.js';
+import { onList, onReturned } from './machine-list.js';
+import { reapSilent } from './leases.js';
+import { useImage } from './image-cache.js';
+import { freeOn, isUsable } from './capacity.js';
+import type {
+  Facts,
+  Intent,
+  Job,
+  JobRecord,
+  OperatorSettings,
+  Listed,
+  MachineType,
+  Report,
+} from './model.js';
 import { nextTransaction, settled, type Transaction } from './outbox.js';
-import type { PageEntry } from './pages.js';
-import { mayStart } from './parts.js';
-import { pass, passGap } from './pass.js';
-import { heedNotices, isDeaf, probeDeaf, returnSilent } from './suspicion.js';
+import type { PageEntry } from './record-pages.js';
+import { mayStart } from './ownership-timing.js';
+import { placementPass, placementPassGap } from './placement-pass.js';
+import { actOnNotices, isDeaf, probeDeaf, returnSilent } from './failure-detector.js';
 import { seconds, type Now, type Span, type Steady } from './time.js';
-import { newWorld, note, type Effect, type Order, type RentOrder, type Term, type World } from './world.js';
+import {
+  newClusterState,
+  emitLog,
+  type Effect,
+  type Order,
+  type RentOrder,
+  type Term,
+  type ClusterState,
+} from './cluster-state.js';
 
 /** What can happen to an owner. Each event is handled alone and yields what is to be done outside. */
 export type Event =
@@ -64,33 +75,33 @@
 
 /** The owner of a part: the whole of its knowledge, and the one place where events become effects. */
 export class Owner {
-  readonly world: World;
+  readonly state: ClusterState;
   private fleetAt: Steady = 0n;
   private surveyAt: Steady = 0n;
   private sweptAt: Steady = 0n;
   private lookedAt: Steady = 0n;
 
-  constructor(facts: Facts, knobs: Knobs, term: Term) {
-    this.world = newWorld(facts, knobs, term);
+  constructor(facts: Facts, knobs: OperatorSettings, term: Term) {
+    this.state = newClusterState(facts, knobs, term);
   }
 
   handle(event: Event, now: Now): Effect[] {
-    const w = this.world;
+    const state = this.state;
     switch (event.kind) {
       case 'job':
-        onJob(w, event.id, event.record, event.stamp, now);
+        onJob(state, event.id, event.record, event.stamp, now);
         break;
       case 'page':
-        onPage(w, event.id, event.entries, event.stamp, now);
+        onPage(state, event.id, event.entries, event.stamp, now);
         break;
       case 'report':
-        onReport(w, event.report, now);
-        onArrival(w, event.report.machine, now);
-        tidyForgets(w, event.report);
+        onReport(state, event.report, now);
+        onArrival(state, event.report.machine, now);
+        tidyForgets(state, event.report);
         break;
       case 'direct':
         onDirect(
-          w,
+          state,
           event.machine,
           event.session,
           event.token,
@@ -98,44 +109,45 @@
           event.outcome,
           event.report !== null,
         );
-        if (event.report !== null) onReport(w, event.report, now);
+        if (event.report !== null) onReport(state, event.report, now);
         if (event.outcome === 'refused' && event.report !== null) this.refence(event.machine);
         break;
       case 'settled': {
-        settled(w, event.transaction, event.stamp);
-        dispatch(w, this.affected(event.transaction), now);
+        settled(state, event.transaction, event.stamp);
+        dispatch(state, this.affected(event.transaction), now);
         break;
       }
       case 'contact':
-        if (event.at > w.contact) w.contact = event.at;
+        if (event.at > state.contact) state.contact = event.at;
         break;
       case 'raised':
-        w.token = event.token;
-        w.raisedAt = now.steady;
+        state.token = event.token;
+        state.raisedAt = now.steady;
         break;
       case 'types':
-        for (const t of event.types) w.types.set(t.name, t);
-        for (const m of w.machines.values()) m.view = null;
-        w.needPass = true;
+        for (const type of event.types) state.types.set(type.name, type);
+        for (const machine of state.machines.values()) machine.view = null;
+        state.needPass = true;
         break;
       case 'list':
-        onList(w, event.machines, event.sent, now);
+        onList(state, event.machines, event.sent, now);
         break;
       case 'renting':
-        w.renting.set(event.name, { order: event.order, since: now.steady });
+        state.renting.set(event.name, { order: event.order, since: now.steady });
         break;
       case 'rented':
         this.onRented(event.name, event.machines, now);
         break;
       case 'returned':
-        if (event.ok) onReturned(w, event.machines, now);
+        if (event.ok) onReturned(state, event.machines, now);
         else for (const n of event.machines) this.unreturn(n);
         break;
       case 'images':
         // Not newer than anything a report has told since.
         for (const s of event.seen) {
-          const m = machineOf(w, s.machine, now.steady);
-          if (!m.images.has(s.image)) useImage(w, m, { image: s.image, imageGb: s.gb }, w.began);
+          const machine = machineOf(state, s.machine, now.steady);
+          if (!machine.images.has(s.image))
+            useImage(state, machine, { image: s.image, imageGb: s.gb }, state.began);
         }
         break;
       case 'tick':
@@ -143,47 +155,47 @@
         break;
     }
     if (
-      w.needPass &&
+      state.needPass &&
       event.kind !== 'page' &&
-      now.steady - w.passedAt >= passGap(w) &&
-      mayStart(w.contact, now.steady)
+      now.steady - state.passedAt >= placementPassGap(state) &&
+      mayStart(state.contact, now.steady)
     )
-      pass(w, now);
-    const effects = w.effects;
-    w.effects = [];
+      placementPass(state, now);
+    const effects = state.effects;
+    state.effects = [];
     return effects;
   }
 
   /** Tells how long an event in which a pass was made took: the core itself reads no clock. */
   passTook(span: Span): void {
-    const w = this.world;
-    w.passTook = (w.passTook + span) / 2n;
+    const state = this.state;
+    state.passTook = (state.passTook + span) / 2n;
   }
 
   /** Tells how much too late a moment came for which the process had asked. */
   ranLate(span: Span): void {
-    const w = this.world;
-    w.lateness = (w.lateness * 3n + span) / 4n;
+    const state = this.state;
+    state.lateness = (state.lateness * 3n + span) / 4n;
   }
 
   /** The answer to a report that was just taken in. */
   answer(report: Report, now: Now): Order[] {
-    return ordersFor(this.world, report.machine, now, report);
+    return ordersFor(this.state, report.machine, now, report);
   }
 
   nextTransaction(now: Now): Transaction | null {
-    return nextTransaction(this.world, now.steady);
+    return nextTransaction(this.state, now.steady);
   }
 
   private onTick(now: Now): void {
-    const w = this.world;
+    const state = this.state;
     if (now.steady - this.sweptAt >= SWEEP) this.sweep(now);
-    const why = wantsHigherToken(w, now);
+    const why = wantsHigherToken(state, now);
     if (why !== null) {
-      w.raisedAt = now.steady;
-      w.effects.push({ kind: 'raise', why });
+      state.raisedAt = now.steady;
+      state.effects.push({ kind: 'raise', why });
     }
-    if (now.steady - this.fleetAt > seconds(2) && mayStart(w.contact, now.steady)) {
+    if (now.steady - this.fleetAt > seconds(2) && mayStart(state.contact, now.steady)) {
       this.fleetAt = now.steady;
       this.runFleet(now);
     }
@@ -191,79 +203,79 @@
 
   /** What only time changes: each of these walks all machines, so it is done a few times a second at most. */
   private sweep(now: Now): void {
-    const w = this.world;
+    const state = this.state;
     this.sweptAt = now.steady;
     // After standing still everything looks silent: nothing is judged before a fresh word from the state service.
-    if (mayStart(w.contact, now.steady)) {
-      reapSilent(w, now);
-      if (isDeaf(w, now)) w.effects.push({ kind: 'abdicate', why: 'hardly any worker is heard' });
-      heedNotices(w, now);
-      probeDeaf(w, now);
-      this.giveBack(returnSilent(w, now), 'silent, with replicas on it');
+    if (mayStart(state.contact, now.steady)) {
+      reapSilent(state, now);
+      if (isDeaf(state, now)) state.effects.push({ kind: 'abdicate', why: 'hardly any worker is heard' });
+      actOnNotices(state, now);
+      probeDeaf(state, now);
+      this.giveBack(returnSilent(state, now), 'silent, with replicas on it');
     }
     this.survey(now);
-    fence(w, now);
+    fence(state, now);
     if (now.steady - this.lookedAt >= seconds(1)) {
       // Pauses end, machines fall silent, waiting work becomes urgent: none of that is an event.
       this.lookedAt = now.steady;
-      w.needPass = w.needPass || w.waiting.size > 0;
+      state.needPass = state.needPass || state.waiting.size > 0;
     }
   }
 
   private runFleet(now: Now): void {
-    const w = this.world;
-    const blocked = pass(w, now);
-    closeSome(w, blocked, now);
-    for (const order of rentals(w, blocked, now)) {
-      logRent(w, order);
-      w.effects.push({ kind: 'rent', order });
+    const state = this.state;
+    const blocked = placementPass(state, now);
+    closeSome(state, blocked, now);
+    for (const order of rentals(state, blocked, now)) {
+      logRent(state, order);
+      state.effects.push({ kind: 'rent', order });
     }
-    for (const r of returns(w, now)) this.giveBack(r.names, r.why);
+    for (const r of returns(state, now)) this.giveBack(r.names, r.why);
   }
 
   private giveBack(names: readonly string[], why: string): void {
     if (names.length === 0) return;
     for (const n of names) {
-      const m = this.world.machines.get(n);
-      if (m !== undefined) m.returning = true;
+      const machine = this.state.machines.get(n);
+      if (machine !== undefined) machine.returning = true;
     }
-    this.world.effects.push({ kind: 'return', machines: names, why });
+    this.state.effects.push({ kind: 'return', machines: names, why });
   }
 
   /** How things stand, for those who read the log. */
   private survey(now: Now): void {
-    const w = this.world;
+    const state = this.state;
     if (now.steady - this.surveyAt < seconds(10)) return;
     this.surveyAt = now.steady;
     const count = { ordinary: 0, spot: 0, empty: 0, closed: 0, unusable: 0 };
     let free = 0;
-    for (const m of w.machines.values()) {
-      if (m.session === 0) continue;
-      if (!usable(w, m, now.steady)) count.unusable += 1;
+    for (const machine of state.machines.values()) {
+      if (machine.session === 0) continue;
+      if (!isUsable(state, machine, now.steady)) count.unusable += 1;
       else {
-        count[m.spot ? 'spot' : 'ordinary'] += 1;
-        if (m.intents.size === 0) count.empty += 1;
-        if (m.closed) count.closed += 1;
-        free += freeOn(w, m).gpus;
+        count[machine.spot ? 'spot' : 'ordinary'] += 1;
+        if (machine.intents.size === 0) count.empty += 1;
+        if (machine.closed) count.closed += 1;
+        free += freeOn(state, machine).gpus;
       }
     }
-    const ahead = foresee(w, now);
+    const ahead = forecastDemand(state, now);
     let tasks = 0;
     let longest: Job | null = null;
-    for (const id of w.waiting) {
-      const job = w.jobs.get(id);
+    for (const id of state.waiting) {
+      const job = state.jobs.get(id);
       if (job === undefined) continue;
       tasks += job.free.size;
       if (longest === null || job.submitted < longest.submitted) longest = job;
     }
-    note(
-      w,
+    emitLog(
+      state,
       'survey',
       {
         ...count,
-        booting: w.booting.size,
+        booting: state.booting.size,
         freeGpus: free,
-        waitingJobs: w.waiting.size,
+        waitingJobs: state.waiting.size,
         waitingTasks: tasks,
         comes: Math.round(ahead.comes),
         ends: Math.round(ahead.ends),
@@ -274,36 +286,36 @@
   }
 
   private onRented(name: string, machines: readonly string[] | null, now: Now): void {
-    const w = this.world;
-    const pending = w.renting.get(name);
-    w.renting.delete(name);
+    const state = this.state;
+    const pending = state.renting.get(name);
+    state.renting.delete(name);
     if (pending === undefined) return;
-    if (machines === null || machines.length < pending.order.count) onRefused(w, pending.order, now);
+    if (machines === null || machines.length < pending.order.count) onRefused(state, pending.order, now);
     const { type, zone, spot } = pending.order;
     for (const name of machines ?? []) {
-      const m = machineOf(w, name, now.steady);
-      if (m.session > 0) continue;
-      Object.assign(m, { type, zone, spot, view: null });
-      w.booting.set(name, { type, zone, spot, since: now.steady });
+      const machine = machineOf(state, name, now.steady);
+      if (machine.session > 0) continue;
+      Object.assign(machine, { type, zone, spot, view: null });
+      state.booting.set(name, { type, zone, spot, since: now.steady });
     }
   }
 
   private unreturn(name: string): void {
-    const m = this.world.machines.get(name);
-    if (m !== undefined) m.returning = false;
+    const machine = this.state.machines.get(name);
+    if (machine !== undefined) machine.returning = false;
   }
 
   /** A machine that refused the token for its session has told its session: it is asked again at once. */
   private refence(machine: string): void {
-    const m = this.world.machines.get(machine);
+    const m = this.state.machines.get(machine);
     if (m === undefined || m.fenced || m.session === 0) return;
-    this.world.effects.push({ kind: 'direct', machine, session: m.session, orders: [] });
+    this.state.effects.push({ kind: 'direct', machine, session: m.session, orders: [] });
   }
 
-  private affected(t: Transaction): Intent[] {
+  private affected(transaction: Transaction): Intent[] {
     const out: Intent[] = [];
-    for (const id of t.jobs.keys()) {
-      const job = this.world.jobs.get(id);
+    for (const id of transaction.jobs.keys()) {
+      const job = this.state.jobs.get(id);
       if (job !== undefined && job.standing === 'open') out.push(...intentsOf(job));
     }
     return out;
--- a/src/core/parts.ts
+++ b/src/core/ownership-timing.ts
@@ -1,6 +1,6 @@
 import type { Facts } from './model.js';
 import { seconds, type Span, type Steady } from './time.js';
-import { stretched } from './world.js';
+import { withDrift } from './cluster-state.js';
 
 /**
  * How long an owner that has lost the state service may go on answering reports. A user can be told "cancelled" by
@@ -9,13 +9,13 @@
  */
 export function answeringSpan(facts: Facts): Span {
   const margin = seconds(2);
-  const span = facts.cancel - stretched(facts.lease) - margin;
+  const span = facts.cancel - withDrift(facts.lease) - margin;
   return span > 0n ? span : 0n;
 }
 
 /** From when on no earlier owner answers: each lost contact before our term began. */
 export function othersQuietFrom(facts: Facts, began: Steady): Steady {
-  return began + stretched(answeringSpan(facts)) + seconds(0.5);
+  return began + withDrift(answeringSpan(facts)) + seconds(0.5);
 }
 
 export function mayAnswer(facts: Facts, contact: Steady, now: Steady): boolean {
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -1,4 +1,4 @@
-import type { Job, Knobs, Machine, MachineType, Spec } from './model.js';
+import type { Job, OperatorSettings, Machine, MachineType, Spec } from './model.js';
 import { toSeconds } from './time.js';
 
 /**
@@ -26,8 +26,8 @@
 
 const EPSILON = 1e-6;
 
-export function fits(c: Spec, r: Free): boolean {
-  return c.cpus <= r.cpus + EPSILON && c.gpus <= r.gpus + EPSILON && c.memory <= r.memory + EPSILON;
+export function fitsIn(spec: Spec, r: Free): boolean {
+  return spec.cpus <= r.cpus + EPSILON && spec.gpus <= r.gpus + EPSILON && spec.memory <= r.memory + EPSILON;
 }
 
 /** Ã, eq. (9), with twice the request as the limit. */
@@ -36,7 +36,7 @@
 }
 
 /** Γ, eq. (18): nothing on an empty machine, doubling with each task held. */
-export function contention(zeta: number, knobs: Knobs): number {
+export function contention(zeta: number, knobs: OperatorSettings): number {
   return zeta > 0 ? knobs.betaCs + 2 ** (zeta - 1) * knobs.betaRc : 0;
 }
 
@@ -45,19 +45,20 @@
  * bandwidth (ours; the paper's network delay takes the bandwidth that is free), and one that is under way already has
  * only its rest to come.
  */
-export function imageDelay(c: Spec, cand: Candidate, knobs: Knobs): number {
-  if (cand.machine.images.has(c.image)) return 0;
+export function imageDelay(spec: Spec, cand: Candidate, knobs: OperatorSettings): number {
+  if (cand.machine.images.has(spec.image)) return 0;
   const bandwidth = Math.max(knobs.bandwidth ?? cand.type.fetchGbPerS, EPSILON);
-  const rest = cand.pulls.get(c.image);
+  const rest = cand.pulls.get(spec.image);
   const sharers = cand.pulls.size + (rest === undefined ? 1 : 0);
-  return ((rest ?? c.imageGb) * sharers) / bandwidth;
+  return ((rest ?? spec.imageGb) * sharers) / bandwidth;
 }
 
 /** Ω in seconds for running `c` on the candidate. */
-export function omega(c: Spec, cand: Candidate, knobs: Knobs): number {
-  const granted = grantedCpu(c.cpus, cand.r.cpus, knobs.phi);
-  const processing = granted > 0 ? (toSeconds(c.estimate) * c.cpus) / granted : toSeconds(c.estimate);
-  const network = imageDelay(c, cand, knobs);
+export function omega(spec: Spec, cand: Candidate, knobs: OperatorSettings): number {
+  const granted = grantedCpu(spec.cpus, cand.r.cpus, knobs.phi);
+  const processing =
+    granted > 0 ? (toSeconds(spec.estimate) * spec.cpus) / granted : toSeconds(spec.estimate);
+  const network = imageDelay(spec, cand, knobs);
   return knobs.alpha * processing + (1 - knobs.alpha) * network + contention(cand.zeta, knobs);
 }
 
@@ -76,32 +77,37 @@
   steer: number;
 }
 
-export function score(c: Spec, cand: Candidate, knobs: Knobs, steer: (cand: Candidate) => number): Scored {
-  return { cand, omega: omega(c, cand, knobs), share: freeShare(cand), steer: steer(cand) };
+export function score(
+  spec: Spec,
+  cand: Candidate,
+  knobs: OperatorSettings,
+  steer: (cand: Candidate) => number,
+): Scored {
+  return { cand, omega: omega(spec, cand, knobs), share: freeShare(cand), steer: steer(cand) };
 }
 
 /**
  * Algorithm 2: among the candidates within λ of the best Ω, the largest smaller free share. `steer` (ours) narrows the
  * band first: those with the smallest value stay.
  */
-export function pick(rows: readonly Scored[], knobs: Knobs): Scored | null {
+export function pick(rows: readonly Scored[], knobs: OperatorSettings): Scored | null {
   let best = Infinity;
-  for (const s of rows) if (s.omega < best) best = s.omega;
+  for (const row of rows) if (row.omega < best) best = row.omega;
   const band = best + knobs.lambda;
   let chosen: Scored | null = null;
-  for (const s of rows) {
-    if (s.omega > band) continue;
-    if (chosen === null || s.steer < chosen.steer) {
-      chosen = s;
+  for (const row of rows) {
+    if (row.omega > band) continue;
+    if (chosen === null || row.steer < chosen.steer) {
+      chosen = row;
       continue;
     }
     // Equal shares go by name, so that the same picture always gives the same place.
     if (
-      s.steer === chosen.steer &&
-      (s.share > chosen.share + EPSILON ||
-        (Math.abs(s.share - chosen.share) <= EPSILON && s.cand.machine.name < chosen.cand.machine.name))
+      row.steer === chosen.steer &&
+      (row.share > chosen.share + EPSILON ||
+        (Math.abs(row.share - chosen.share) <= EPSILON && row.cand.machine.name < chosen.cand.machine.name))
     )
-      chosen = s;
+      chosen = row;
   }
   return chosen;
 }
--- a/src/core/quota.ts
+++ b/src/core/quota.ts
@@ -11,44 +11,44 @@
   private readonly teams: ReadonlyMap<string, Team>;
 
   constructor(teams: readonly Team[]) {
-    this.teams = new Map(teams.map((t) => [t.name, t]));
+    this.teams = new Map(teams.map((team) => [team.name, team]));
   }
 
   of(team: string): Usage {
-    let u = this.usage.get(team);
-    if (u === undefined) {
-      u = { cpus: 0, gpus: 0 };
-      this.usage.set(team, u);
+    let usage = this.usage.get(team);
+    if (usage === undefined) {
+      usage = { cpus: 0, gpus: 0 };
+      this.usage.set(team, usage);
     }
-    return u;
+    return usage;
   }
 
   take(spec: Spec): void {
-    const u = this.of(spec.team);
-    u.cpus += spec.cpus;
-    u.gpus += spec.gpus;
+    const usage = this.of(spec.team);
+    usage.cpus += spec.cpus;
+    usage.gpus += spec.gpus;
   }
 
   release(spec: Spec): void {
-    const u = this.of(spec.team);
-    u.cpus -= spec.cpus;
-    u.gpus -= spec.gpus;
+    const usage = this.of(spec.team);
+    usage.cpus -= spec.cpus;
+    usage.gpus -= spec.gpus;
   }
 
   /** Whether `count` more tasks stay within the team's limit. 0 means no limit. */
   allows(spec: Spec, count = 1): boolean {
     const team = this.teams.get(spec.team);
     if (team === undefined) return false;
-    const u = this.of(spec.team);
+    const usage = this.of(spec.team);
     const over = (used: number, each: number, max: number): boolean =>
       max > 0 && used + each * count > max + 1e-6;
-    return !over(u.cpus, spec.cpus, team.cpusMax) && !over(u.gpus, spec.gpus, team.gpusMax);
+    return !over(usage.cpus, spec.cpus, team.cpusMax) && !over(usage.gpus, spec.gpus, team.gpusMax);
   }
 }
 
 /** Whether a job as submitted could ever be inside its team's limit. */
 export function everWithinLimit(spec: Spec, teams: readonly Team[]): boolean {
-  const team = teams.find((t) => t.name === spec.team);
+  const team = teams.find((team) => team.name === spec.team);
   if (team === undefined) return false;
   const n = spec.kind === 'array' ? 1 : spec.tasks;
   return (
--- a/src/core/pages.ts
+++ b/src/core/record-pages.ts
@@ -1,7 +1,7 @@
-import type { ChunkImage } from './jobs.js';
-import { CHUNK_TASKS } from './jobs.js';
+import type { ChunkRecord } from './chunks.js';
+import { CHUNK_TASKS } from './chunks.js';
 import type { Chunk, Job, Page } from './model.js';
-import type { World } from './world.js';
+import type { ClusterState } from './cluster-state.js';
 
 /**
  * What the owner records goes into pages: each holds the chunks of many jobs, so that the many small changes of many
@@ -10,7 +10,7 @@
 export interface PageEntry {
   readonly job: string;
   readonly index: number;
-  readonly image: ChunkImage;
+  readonly record: ChunkRecord;
 }
 
 const digits = (n: number): number => String(Math.max(0, n)).length;
@@ -29,7 +29,7 @@
  * The most that a chunk's entry can come to take: each task that is not done may have a place, and a result takes less
  * than a place. It only falls as results come, so a page that holds its chunks' bounds never overflows.
  */
-export function entryBound(w: World, job: Job, chunk: Chunk): number {
+export function entryBound(state: ClusterState, job: Job, chunk: Chunk): number {
   const first = chunk.index * CHUNK_TASKS;
   const tasks = Math.min(CHUNK_TASKS, job.spec.tasks - first) - chunk.done.size;
   const each =
@@ -38,7 +38,7 @@
     SESSION_DIGITS +
     ZONE_DIGITS +
     PLACE_SIGNS +
-    Math.max(LEAST_NAME, w.longestName);
+    Math.max(LEAST_NAME, state.longestName);
   // Results stand as runs: at worst every second task, each at most as long as a run of two numbers.
   const runs = Math.min(chunk.done.size, tasks + 1) * (2 * digits(first + CHUNK_TASKS) + 2);
   return ENTRY_HEAD + job.spec.id.length + tasks * each + runs;
@@ -47,24 +47,25 @@
 /** Zone names stand once in a page; this is kept free for them. */
 const PAGE_HEAD = 240;
 
-const room = (w: World): number => w.facts.valueBytes - PAGE_HEAD - w.facts.zones.join(',').length;
+const room = (state: ClusterState): number =>
+  state.facts.valueBytes - PAGE_HEAD - state.facts.zones.join(',').length;
 
 /** Services stay for hours and hardly change: beside arrays they would be written again and again. */
 const poolOf = (job: Job): Page['pool'] => (job.spec.kind === 'service' ? 'lasting' : 'passing');
 
-export function pageFor(w: World, job: Job, chunk: Chunk): Page {
+export function pageFor(state: ClusterState, job: Job, chunk: Chunk): Page {
   if (chunk.page !== null) return chunk.page;
-  const need = entryBound(w, job, chunk);
+  const need = entryBound(state, job, chunk);
   const pool = poolOf(job);
   let best: Page | null = null;
   let bestUsed = -1;
-  for (const page of w.pages.values()) {
+  for (const page of state.pages.values()) {
     if (page.pool !== pool && page.chunks.size > 0) continue;
-    const used = usedOf(w, page);
+    const used = usedOf(state, page);
     // The fullest page that has room: the fewer pages are written, the sooner each is.
-    if (used + need <= room(w) && used > bestUsed) [best, bestUsed] = [page, used];
+    if (used + need <= room(state) && used > bestUsed) [best, bestUsed] = [page, used];
   }
-  best ??= newPage(w, pool);
+  best ??= newPage(state, pool);
   best.pool = pool;
   best.chunks.add(chunk);
   best.used = null;
@@ -72,20 +73,20 @@
   return best;
 }
 
-function newPage(w: World, pool: Page['pool']): Page {
+function newPage(state: ClusterState, pool: Page['pool']): Page {
   let id = 0;
-  while (w.pages.has(id)) id += 1;
+  while (state.pages.has(id)) id += 1;
   const page: Page = { id, pool, stamp: 0, version: 0, committed: 0, chunks: new Set(), used: null };
-  w.pages.set(id, page);
+  state.pages.set(id, page);
   return page;
 }
 
-function usedOf(w: World, page: Page): number {
+function usedOf(state: ClusterState, page: Page): number {
   if (page.used === null) {
     page.used = 0;
-    for (const c of page.chunks) {
-      const job = w.jobs.get(c.job);
-      if (job !== undefined) page.used += entryBound(w, job, c);
+    for (const chunk of page.chunks) {
+      const job = state.jobs.get(chunk.job);
+      if (job !== undefined) page.used += entryBound(state, job, chunk);
     }
   }
   return page.used;
@@ -99,6 +100,6 @@
   chunk.page = null;
 }
 
-export function entriesOf(page: Page, image: (c: Chunk) => ChunkImage): PageEntry[] {
-  return [...page.chunks].map((c) => ({ job: c.job, index: c.index, image: image(c) }));
+export function entriesOf(page: Page, record: (chunk: Chunk) => ChunkRecord): PageEntry[] {
+  return [...page.chunks].map((chunk) => ({ job: chunk.job, index: chunk.index, record: record(chunk) }));
 }
--- a/src/core/time.ts
+++ b/src/core/time.ts
@@ -14,7 +14,7 @@
 
 export const seconds = (n: number): Span => BigInt(Math.round(n * NANOS_PER_SECOND));
 export const toSeconds = (s: Span): number => Number(s) / NANOS_PER_SECOND;
-export const later = (a: Steady, b: Steady): Steady => (a > b ? a : b);
+export const laterOf = (a: Steady, b: Steady): Steady => (a > b ? a : b);
 
 /** Seconds of wall time between two dates. */
 export const wallSeconds = (from: Date, to: Date): number => (to.getTime() - from.getTime()) / 1000;
--- /dev/null
+++ b/src/core/urgency.ts
@@ -0,0 +1,53 @@
+/** @file By when a job should have started, and how hurried or patient it is. */
+import type { ClusterState } from './cluster-state.js';
+import type { Job } from './model.js';
+import { type Now, seconds, toSeconds, wallSeconds } from './time.js';
+
+/** When a job should have started, by the objectives of its class, or else by its own due time. */
+export function wantedBy(state: ClusterState, job: Job): number {
+  let within = Infinity;
+  for (const objective of state.facts.objectives) {
+    if (objective.class !== job.spec.class || objective.within === null) continue;
+    const span = toSeconds(objective.within);
+    if (objective.kind === 'wait') within = Math.min(within, span);
+    if (objective.kind === 'finished') within = Math.min(within, Math.max(0, span - estimateOf(state, job)));
+  }
+  if (within === Infinity)
+    within = job.spec.due === null ? 120 : Math.max(0, toSeconds(job.spec.due) - estimateOf(state, job));
+  return job.submitted.getTime() / 1000 + within;
+}
+
+/** The owner's estimate, corrected by what was seen of the class. */
+export function estimateOf(state: ClusterState, job: Job): number {
+  return toSeconds(job.spec.estimate) * (state.pace.get(job.spec.class) ?? 1);
+}
+
+/** Work that is not wanted before new machines could be up twice over. */
+export function isPatient(state: ClusterState, job: Job, now: Now): boolean {
+  if (job.spec.kind === 'service' || wallSeconds(job.submitted, now.wall) > PATIENT_S) return false;
+  let boot = 0;
+  for (const type of state.types.values()) boot = Math.max(boot, toSeconds(type.boot));
+  // Only where some class is promised a start within that time is there anything to leave room for.
+  const hasty = state.facts.objectives.some(
+    (objective) =>
+      objective.kind === 'wait' && objective.within !== null && toSeconds(objective.within) < 2 * boot,
+  );
+  return hasty && wantedBy(state, job) - now.wall.getTime() / 1000 > 2 * boot;
+}
+
+/** However far off its own time is: nobody waits longer than this while a machine that fits stands empty. */
+const PATIENT_S = 45;
+
+/** Room beside a cached image is looked for so long after the moment; then any room will do. */
+const LATELY_S = 5;
+
+/** Whether the job is wanted before an image could be fetched. */
+export function isHurried(state: ClusterState, job: Job, now: Now): boolean {
+  if (job.spec.priority !== 'production') return false;
+  // A lost replica is wanted at once, whenever its job came.
+  if (job.lostAt !== null && now.steady - job.lostAt < seconds(LATELY_S)) return true;
+  let fastest = 0;
+  for (const type of state.types.values()) fastest = Math.max(fastest, type.fetchGbPerS);
+  const left = wantedBy(state, job) - now.wall.getTime() / 1000;
+  return fastest > 0 && left > -LATELY_S && left < job.spec.imageGb / fastest;
+}
--- a/src/edge/api.ts
+++ b/src/edge/api.ts
@@ -3,7 +3,7 @@
 import express, { type NextFunction, type Request, type Response } from 'express';
 import { Observable, Subscription } from 'rxjs';
 import type { Report } from '../core/model.js';
-import type { Order } from '../core/world.js';
+import type { Order } from '../core/cluster-state.js';
 import { decode, encode } from '../wire/cbor.js';
 import {
   API_PATHS,
@@ -15,17 +15,17 @@
   parseSubmission,
   redirect,
 } from '../wire/dialect.js';
-import type { Answer, Desk, View } from './desk.js';
-import { Door } from './door.js';
-import { messageOf } from './duty.js';
+import type { Answer, RequestHandler, View } from './request-handler.js';
+import { Listener } from './listener.js';
+import { messageOf } from './supervised-task.js';
 import { parseTarget } from './http-client.js';
 import { warnSparsely, type Log } from './log.js';
 import { Intake, readReports, type ReportAnswer } from './reports.js';
 import type { SocketShares } from './sockets.js';
 
-export interface ApiParts {
+export interface ApiDependencies {
   readonly addr: string;
-  readonly desk: Desk;
+  readonly requests: RequestHandler;
   readonly log: Log;
   readonly healthy: () => boolean;
   readonly sockets: SocketShares;
@@ -33,7 +33,7 @@
   readonly coreShare: number;
   readonly leading: () => boolean;
   /** The owner's answer to a report; null if we are not the owner or may not answer. */
-  readonly report: (r: Report) => { token: number; orders: Order[] } | null;
+  readonly report: (report: Report) => { token: number; orders: Order[] } | null;
   readonly ownerLabel: () => string | null;
 }
 
@@ -77,14 +77,15 @@
 const crowded = new WeakSet<Socket>();
 
 export function makeApp(
-  p: ApiParts,
+  dependencies: ApiDependencies,
   answer: (raw: Buffer) => ReportAnswer,
   open: () => number,
 ): express.Express {
   const app = express();
   app.use((_req: Request, res: Response, next: NextFunction) => {
     // A user stays on the connection it has: closing it lets the next request come to a controller that is healthy.
-    if (open() > p.sockets.turnsAbove || !p.healthy()) res.setHeader('connection', 'close');
+    if (open() > dependencies.sockets.turnsAbove || !dependencies.healthy())
+      res.setHeader('connection', 'close');
     next();
   });
   // Turned away before its body is read. The load balancer's question is answered all the same.
@@ -110,7 +111,7 @@
     const id = jobIdOf(body);
     const spec = parseSubmission(body);
     if (id === null) return send(res, 400, { error: spec.ok ? 'ref: invalid' : spec.why });
-    const a = await p.desk.submit(id, spec.ok ? spec.value : spec.why);
+    const a = await dependencies.requests.submit(id, spec.ok ? spec.value : spec.why);
     if (a.kind === 'never' && !spec.ok) return send(res, 400, { error: a.why });
     sendAnswer(res, a, 201);
   });
@@ -118,17 +119,17 @@
   app.get(`${API_PATHS.jobs}/:id`, async (req, res) => {
     const id = req.params.id;
     if (!isJobId(id)) return send(res, 404, { error: 'no such job' });
-    sendAnswer(res, await p.desk.look(id), 200);
+    sendAnswer(res, await dependencies.requests.status(id), 200);
   });
 
   app.post(`${API_PATHS.jobs}/:id/${API_PATHS.cancel}`, async (req, res) => {
     const id = req.params.id;
     if (!isJobId(id)) return send(res, 404, { error: 'no such job' });
-    sendAnswer(res, await p.desk.cancel(id), 200);
+    sendAnswer(res, await dependencies.requests.cancel(id), 200);
   });
 
   app.get(API_PATHS.health, (_req, res) => {
-    const ok = p.healthy();
+    const ok = dependencies.healthy();
     send(res, ok ? 200 : 503, { ok });
   });
 
@@ -145,20 +146,20 @@
     // Bodies that are too large or cannot be read are the asker's mistake.
     if (typeof status === 'number' && status >= 400 && status < 500)
       return send(res, 400, { error: messageOf(e) });
-    warnSparsely(p.log, { error: messageOf(e) }, 'request failed');
+    warnSparsely(dependencies.log, { error: messageOf(e) }, 'request failed');
     res.setHeader('retry-after', '1');
     send(res, 503, { error: 'internal trouble' });
   });
   return app;
 }
 
-function refuseReport(p: ApiParts, why: string): ReportAnswer {
-  warnSparsely(p.log, { why }, 'a report cannot be read');
+function refuseReport(dependencies: ApiDependencies, why: string): ReportAnswer {
+  warnSparsely(dependencies.log, { why }, 'a report cannot be read');
   return { status: 400, body: encode({ error: why }) };
 }
 
 /** The answers to workers' reports. Most carry no orders and differ by the token alone: those are written once for each. */
-function reportAnswers(p: ApiParts): (raw: Buffer) => ReportAnswer {
+function reportAnswers(dependencies: ApiDependencies): (raw: Buffer) => ReportAnswer {
   let plain: { readonly token: number; readonly body: Buffer } | null = null;
   const write = (token: number, list: readonly Order[]): Buffer => {
     if (list.length > 0) return encode(orders(token, list));
@@ -167,22 +168,22 @@
   };
   return (raw) => {
     // Only the leader reads reports: after a takeover the others send hundreds of workers on within seconds.
-    if (!p.leading()) return { status: 421, body: encode(redirect(p.ownerLabel())) };
+    if (!dependencies.leading()) return { status: 421, body: encode(redirect(dependencies.ownerLabel())) };
     let body: unknown;
     try {
       body = decode(raw);
     } catch {
-      return refuseReport(p, 'not CBOR');
+      return refuseReport(dependencies, 'not CBOR');
     }
     const r = parseReport(body);
-    if (!r.ok) return refuseReport(p, r.why);
+    if (!r.ok) return refuseReport(dependencies, r.why);
     try {
-      const answer = p.report(r.value);
-      if (answer === null) return { status: 421, body: encode(redirect(p.ownerLabel())) };
+      const answer = dependencies.report(r.value);
+      if (answer === null) return { status: 421, body: encode(redirect(dependencies.ownerLabel())) };
       return { status: 200, body: write(answer.token, answer.orders) };
     } catch (e) {
       // The worker goes on to the next controller; a report that trips us must not end the process.
-      warnSparsely(p.log, { error: messageOf(e) }, 'a report could not be taken in');
+      warnSparsely(dependencies.log, { error: messageOf(e) }, 'a report could not be taken in');
       return { status: 503, body: encode({ error: 'internal trouble' }) };
     }
   };
@@ -192,29 +193,30 @@
  * Listens until unsubscribed. Each connection is a routine of its own and is torn down with the server. It starts with
  * the reader of reports, and goes to express with the first request that is something else.
  */
-export function serve(p: ApiParts): Observable<{ readonly port: number }> {
+export function serve(dependencies: ApiDependencies): Observable<{ readonly port: number }> {
   return new Observable((subscriber) => {
     let open = 0;
-    const answer = reportAnswers(p);
-    const users = http.createServer(makeApp(p, answer, () => open));
+    const answer = reportAnswers(dependencies);
+    const users = http.createServer(makeApp(dependencies, answer, () => open));
     users.keepAliveTimeout = 120_000;
     users.requestTimeout = 15_000;
     const all = new Subscription();
     const intake = new Intake(() => {
-      if (door.openAnew()) p.log.info({ open }, 'the queue of new connections is stale: listening anew');
-    }, p.coreShare);
-    const door = new Door(parseTarget(p.addr), (socket) => {
-      if (open >= p.sockets.inbound) {
+      if (door.reopen())
+        dependencies.log.info({ open }, 'the queue of new connections is stale: listening anew');
+    }, dependencies.coreShare);
+    const door = new Listener(parseTarget(dependencies.addr), (socket) => {
+      if (open >= dependencies.sockets.inbound) {
         socket.destroy();
         return;
       }
       open += 1;
       const one = new Subscription();
       one.add(
-        readReports(socket, BODY_LIMIT, intake, answer, (s) => {
-          if (open > p.sockets.usersBelow) crowded.add(s);
-          users.emit('connection', s);
-          s.resume();
+        readReports(socket, BODY_LIMIT, intake, answer, (socket) => {
+          if (open > dependencies.sockets.usersBelow) crowded.add(socket);
+          users.emit('connection', socket);
+          socket.resume();
         }),
       );
       socket.on('error', () => undefined);
--- a/src/edge/cloud.ts
+++ b/src/edge/cloud.ts
@@ -1,8 +1,9 @@
 import type { Listed, MachineType } from '../core/model.js';
-import type { RentOrder } from '../core/world.js';
+import type { RentOrder } from '../core/cluster-state.js';
 import { CLOUD_PATHS, listQuery, parseList, parseTypes, rentBody, returnBody } from '../wire/dialect.js';
 import * as schemas from '../wire/schemas.js';
-import { Allowance, pause } from './duty.js';
+import { RateLimiter } from './rate-limiter.js';
+import { pause } from './supervised-task.js';
 import { HttpClient, type Outcome } from './http-client.js';
 import { jittered } from './jitter.js';
 import { warnSparsely, type Log } from './log.js';
@@ -12,7 +13,7 @@
 /** The cloud's client. Calls stay below the cloud's limit and are repeated with growing pauses when refused. */
 export class Cloud {
   private readonly client: HttpClient;
-  private readonly allowance: Allowance;
+  private readonly allowance: RateLimiter;
 
   constructor(
     addr: string,
@@ -20,13 +21,13 @@
     private readonly log: Log,
   ) {
     this.client = new HttpClient(addr, 4);
-    this.allowance = new Allowance(rps * 0.7, Math.max(1, rps));
+    this.allowance = new RateLimiter(rps * 0.7, Math.max(1, rps));
   }
 
   async types(signal: AbortSignal): Promise<MachineType[] | null> {
-    const o = await this.call('GET', CLOUD_PATHS.types, undefined, signal);
-    if (o.kind !== 'answer' || o.status !== 200) return null;
-    const r = parseTypes(o.body);
+    const outcome = await this.call('GET', CLOUD_PATHS.types, undefined, signal);
+    if (outcome.kind !== 'answer' || outcome.status !== 200) return null;
+    const r = parseTypes(outcome.body);
     return r.ok ? r.value : this.unread(r.why);
   }
 
@@ -34,9 +35,14 @@
   async list(signal: AbortSignal): Promise<Listed[] | null> {
     const all: Listed[] = [];
     for (;;) {
-      const o = await this.call('GET', listQuery(all[all.length - 1]?.name ?? null, 500), undefined, signal);
-      if (o.kind !== 'answer' || o.status !== 200) return null;
-      const r = parseList(o.body);
+      const outcome = await this.call(
+        'GET',
+        listQuery(all[all.length - 1]?.name ?? null, 500),
+        undefined,
+        signal,
+      );
+      if (outcome.kind !== 'answer' || outcome.status !== 200) return null;
+      const r = parseList(outcome.body);
       if (!r.ok) return this.unread(r.why);
       all.push(...r.value.machines);
       if (!r.value.more) return all;
@@ -46,12 +52,12 @@
   /** Rents under a name that is never used for anything else; repeated until the answer is known or time is up. */
   async rent(name: string, order: RentOrder, signal: AbortSignal): Promise<string[] | null> {
     for (let n = 0; n < 4 && !signal.aborted; n++) {
-      const o = await this.call('POST', CLOUD_PATHS.machines, rentBody(name, order), signal);
-      if (o.kind === 'answer' && o.status === 200) {
-        const r = schemas.rented.safeParse(o.body);
+      const outcome = await this.call('POST', CLOUD_PATHS.machines, rentBody(name, order), signal);
+      if (outcome.kind === 'answer' && outcome.status === 200) {
+        const r = schemas.rented.safeParse(outcome.body);
         return r.success ? r.data.rigs : this.unread('a rental without names');
       }
-      if (o.kind === 'answer' && (o.status === 400 || o.status === 503)) return null;
+      if (outcome.kind === 'answer' && (outcome.status === 400 || outcome.status === 503)) return null;
       await pause(jittered(400 * 2 ** n), signal);
     }
     return null;
@@ -63,8 +69,14 @@
       const wait = this.allowance.take(1);
       if (wait > 0) await pause(wait, signal);
       if (!still()) return false;
-      const o = await this.client.request('POST', CLOUD_PATHS.remove, returnBody(names), CALL_MS, signal);
-      if (o.kind === 'answer' && o.status === 200) return true;
+      const outcome = await this.client.request(
+        'POST',
+        CLOUD_PATHS.remove,
+        returnBody(names),
+        CALL_MS,
+        signal,
+      );
+      if (outcome.kind === 'answer' && outcome.status === 200) return true;
       await pause(jittered(400 * 2 ** n), signal);
     }
     return false;
--- a/src/edge/counts.ts
+++ b/src/edge/counts.ts
@@ -14,8 +14,8 @@
   private readonly byPage = new Map<string, readonly { job: string; done: number; placed: number }[]>();
 
   constructor(store: Store) {
-    for (const [key, e] of store.copy) this.take(key, e.value);
-    store.changes.subscribe((c) => this.take(c.key, c.entry?.value));
+    for (const [key, entry] of store.copy) this.take(key, entry.value);
+    store.changes.subscribe((change) => this.take(change.key, change.entry?.value));
   }
 
   of(job: string): Readonly<Count> {
@@ -31,10 +31,10 @@
   }
 
   private add(job: string, done: number, placed: number): void {
-    const c = this.byJob.get(job) ?? { done: 0, placed: 0 };
-    c.done += done;
-    c.placed += placed;
-    if (c.done === 0 && c.placed === 0) this.byJob.delete(job);
-    else this.byJob.set(job, c);
+    const count = this.byJob.get(job) ?? { done: 0, placed: 0 };
+    count.done += done;
+    count.placed += placed;
+    if (count.done === 0 && count.placed === 0) this.byJob.delete(job);
+    else this.byJob.set(job, count);
   }
 }
--- a/src/edge/health.ts
+++ b/src/edge/health.ts
@@ -28,9 +28,10 @@
  * behind. A controller whose copy is old here alone is no use to users either. Where no other serves them, going away
  * would only keep users out for longer.
  */
-export function isHealthy(c: Condition): boolean {
-  if (!c.ready) return false;
-  if (c.othersServing === 0) return c.copyMs < STALE_MS;
-  if (c.leading && c.othersServing === c.others && c.others >= ENOUGH_OTHERS) return false;
-  return !c.behind && c.copyMs < STALE_ALONE_MS;
+export function isHealthy(condition: Condition): boolean {
+  if (!condition.ready) return false;
+  if (condition.othersServing === 0) return condition.copyMs < STALE_MS;
+  if (condition.leading && condition.othersServing === condition.others && condition.others >= ENOUGH_OTHERS)
+    return false;
+  return !condition.behind && condition.copyMs < STALE_ALONE_MS;
 }
--- a/src/edge/images.ts
+++ b/src/edge/images.ts
@@ -1,7 +1,7 @@
 import type { Subscription } from 'rxjs';
 import { jobKey, parseKey, readJob, readPage } from '../wire/records.js';
 import { millisSince, steady } from './clock.js';
-import { messageOf } from './duty.js';
+import { messageOf } from './supervised-task.js';
 import { warnSparsely, type Log } from './log.js';
 import type { Store } from './store.js';
 
@@ -30,12 +30,12 @@
   ) {}
 
   start(): Subscription {
-    return this.store.changes.subscribe((c) => {
-      if (c.entry === null || parseKey(c.key).kind !== 'page') return;
+    return this.store.changes.subscribe((change) => {
+      if (change.entry === null || parseKey(change.key).kind !== 'page') return;
       try {
-        this.take(c.entry.value);
+        this.take(change.entry.value);
       } catch (e) {
-        warnSparsely(this.log, { key: c.key, error: messageOf(e) }, 'a page cannot be read');
+        warnSparsely(this.log, { key: change.key, error: messageOf(e) }, 'a page cannot be read');
       }
     });
   }
@@ -52,12 +52,12 @@
 
   private take(page: unknown): void {
     const now = steady();
-    for (const e of readPage(page)) {
-      if (e.image.intents.length === 0) continue;
-      const job = this.store.copy.get(jobKey(e.job));
+    for (const entry of readPage(page)) {
+      if (entry.record.intents.length === 0) continue;
+      const job = this.store.copy.get(jobKey(entry.job));
       if (job === undefined) continue;
       const { image, imageGb } = readJob(job.value).spec;
-      for (const i of e.image.intents) {
+      for (const i of entry.record.intents) {
         let images = this.byMachine.get(i.machine);
         if (images === undefined) {
           // Names come in the order of creation: the first are the oldest and most likely gone.
--- a/src/edge/door.ts
+++ b/src/edge/listener.ts
@@ -12,7 +12,7 @@
  * out of it has been given up, and it stays so, since they come again at its end. Listening anew resets all that wait;
  * they come again, to a short queue. Connections that were taken in are not touched.
  */
-export class Door {
+export class Listener {
   private server: Server | null = null;
   private openedAt = 0n;
 
@@ -44,7 +44,7 @@
   }
 
   /** Resets what waits to be taken in; false: it was done a moment ago, and nothing is done. */
-  openAnew(leastMs = REOPEN_MS): boolean {
+  reopen(leastMs = REOPEN_MS): boolean {
     if (millisSince(this.openedAt) < leastMs) return false;
     this.server?.close();
     this.listen();
--- a/src/edge/ownership.ts
+++ b/src/edge/ownership.ts
@@ -1,10 +1,11 @@
 import type { Subscription } from 'rxjs';
-import type { Facts, Knobs } from '../core/model.js';
+import type { Facts, OperatorSettings } from '../core/model.js';
 import { toSeconds } from '../core/time.js';
 import { partKey, readPart, type PartRecord } from '../wire/records.js';
 import { steady } from './clock.js';
 import type { Cloud } from './cloud.js';
-import { Wake, duty, messageOf } from './duty.js';
+import { WakeSignal } from './wake-signal.js';
+import { supervise, messageOf } from './supervised-task.js';
 import type { ImagesSeen } from './images.js';
 import { jittered } from './jitter.js';
 import type { Log } from './log.js';
@@ -14,7 +15,7 @@
 /** Takes a part when it is free, and says who has it. */
 export class Ownership {
   private current: Term | null = null;
-  private readonly wake = new Wake();
+  private readonly wake = new WakeSignal();
   private restsUntil = 0n;
   private readonly record: PartRecord;
 
@@ -23,7 +24,7 @@
     label: string,
     incarnation: string,
     private readonly facts: Facts,
-    private readonly knobs: Knobs,
+    private readonly knobs: OperatorSettings,
     private readonly store: Store,
     private readonly cloud: Cloud,
     private readonly log: Log,
@@ -40,15 +41,15 @@
 
   /** The label of the part's present owner, as far as the followed copy knows. */
   ownerLabel(): string | null {
-    const e = this.store.copy.get(partKey(this.part));
-    return e === undefined ? null : readPart(e.value).label;
+    const entry = this.store.copy.get(partKey(this.part));
+    return entry === undefined ? null : readPart(entry.value).label;
   }
 
   start(): Subscription {
-    const routines = duty('ownership', this.log, (s) => this.run(s));
+    const routines = supervise('ownership', this.log, (signal) => this.run(signal));
     routines.add(
-      this.store.changes.subscribe((c) => {
-        if (c.key === partKey(this.part) && c.entry === null) this.wake.wake();
+      this.store.changes.subscribe((change) => {
+        if (change.key === partKey(this.part) && change.entry === null) this.wake.wake();
       }),
     );
     routines.add(() => this.current?.end('stopping'));
@@ -81,23 +82,23 @@
     const lease = await this.store.grantLease(ttlMs);
     if (lease === null || signal.aborted) return;
     const sent = steady();
-    const r = await this.store.commit(
+    const result = await this.store.commit(
       [{ key, stamp: known?.stamp ?? 0 }],
       [{ write: key, value: this.record, permit: lease }],
     );
     // Stopped meanwhile: nobody would end a term that begins now. The lease runs out by itself.
     if (signal.aborted) return;
-    if (r.kind !== 'ok') {
+    if (result.kind !== 'ok') {
       // Whatever became of it, the key must not stay with a lease that nobody renews.
       await this.store.revokeLease(lease);
       return;
     }
-    if (!(await this.store.reached(r.rev, 5000))) {
+    if (!(await this.store.reached(result.rev, 5000))) {
       await this.store.revokeLease(lease);
       return;
     }
     if (signal.aborted) return;
-    this.begin(r.rev, sent, lease, ttlMs);
+    this.begin(result.rev, sent, lease, ttlMs);
   }
 
   private begin(token: number, claimed: bigint, lease: number, ttlMs: number): void {
@@ -106,7 +107,7 @@
         part: this.part,
         record: this.record,
         facts: this.facts,
-        knobs: this.knobs,
+        settings: this.knobs,
         store: this.store,
         cloud: this.cloud,
         log: this.log,
--- a/src/edge/peers.ts
+++ b/src/edge/peers.ts
@@ -2,7 +2,7 @@
 import { Observable, Subscription, fromEvent, interval, takeUntil } from 'rxjs';
 import { FrameReader, statusFrame, type Status } from '../wire/frames.js';
 import { millisSince, steady } from './clock.js';
-import { duty, messageOf, pause } from './duty.js';
+import { supervise, messageOf, pause } from './supervised-task.js';
 import { parseTarget } from './http-client.js';
 import { jittered } from './jitter.js';
 import { warnSparsely, type Log } from './log.js';
@@ -54,7 +54,7 @@
     const all = new Subscription();
     all.add(this.listen().subscribe());
     for (const peer of this.known)
-      all.add(duty(`peer ${peer.label}`, this.log, (signal) => this.dial(peer, signal)));
+      all.add(supervise(`peer ${peer.label}`, this.log, (signal) => this.dial(peer, signal)));
     return all;
   }
 
@@ -92,9 +92,9 @@
         .subscribe({ complete: () => one.unsubscribe() }),
     );
     one.add(
-      (fromEvent(socket, 'data') as Observable<Buffer>).pipe(takeUntil(closed)).subscribe((d) => {
+      (fromEvent(socket, 'data') as Observable<Buffer>).pipe(takeUntil(closed)).subscribe((data) => {
         try {
-          for (const status of reader.push(d)) this.take(status);
+          for (const status of reader.push(data)) this.take(status);
         } catch (e) {
           warnSparsely(this.log, { error: messageOf(e) }, 'a controller sent what cannot be read');
           socket.destroy();
@@ -105,7 +105,7 @@
   }
 
   private take(status: Status): void {
-    if (this.known.some((p) => p.label === status.label))
+    if (this.known.some((peer) => peer.label === status.label))
       this.heard.set(status.label, { status, at: steady() });
   }
 
--- a/src/edge/reports.ts
+++ b/src/edge/reports.ts
@@ -166,9 +166,9 @@
     socket.off('end', stop);
     socket.off('close', stop);
   };
-  const onData = (d: Buffer): void => {
+  const onData = (data: Buffer): void => {
     if (raw.length === 0) began = process.hrtime.bigint();
-    raw = raw.length === 0 ? d : Buffer.concat([raw, d]);
+    raw = raw.length === 0 ? data : Buffer.concat([raw, data]);
     // Requests are not pipelined: what comes ahead of an answer is held back, beyond one request in the network.
     if (takeBack === null) read();
     else if (raw.length > HEAD_LIMIT + bodyLimit) socket.pause();
--- a/src/edge/desk.ts
+++ b/src/edge/request-handler.ts
@@ -29,7 +29,7 @@
 const ROOM = 48;
 
 /** What users ask, answered from the followed copy and by guarded writes. Every controller does this. */
-export class Desk {
+export class RequestHandler {
   private inside = 0;
   private readonly counts: Counts;
   types: readonly MachineType[] = [];
@@ -49,9 +49,9 @@
   }
 
   view(id: string): View | null {
-    const e = this.store.copy.get(jobKey(id));
-    if (e === undefined) return null;
-    const job = readJob(e.value);
+    const entry = this.store.copy.get(jobKey(id));
+    if (entry === undefined) return null;
+    const job = readJob(entry.value);
     const { done, placed } =
       job.standing === 'done' ? { done: job.spec.tasks, placed: 0 } : this.counts.of(id);
     const standing = job.standing === 'open' ? (placed + done > 0 ? 'running' : 'pending') : job.standing;
@@ -59,7 +59,7 @@
   }
 
   /** A job's state: at once if final, else from a copy as fresh as the asking. */
-  async look(id: string, limitMs = POLL_LIMIT_MS): Promise<Answer<View>> {
+  async status(id: string, limitMs = POLL_LIMIT_MS): Promise<Answer<View>> {
     const known = this.view(id);
     if (known !== null && (known.standing === 'done' || known.standing === 'cancelled')) return ok(known);
     if (this.cutOff()) return cut;
@@ -67,9 +67,9 @@
     this.inside += 1;
     try {
       if (!this.store.loaded || !(await this.store.fresh(limitMs))) return cut;
-      const v = this.view(id);
-      this.log.debug({ job: id, standing: v?.standing ?? 'absent', rev: this.store.rev }, 'looked at');
-      return v === null ? { kind: 'absent' } : ok(v);
+      const view = this.view(id);
+      this.log.debug({ job: id, standing: view?.standing ?? 'absent', rev: this.store.rev }, 'looked at');
+      return view === null ? { kind: 'absent' } : ok(view);
     } finally {
       this.inside -= 1;
     }
@@ -77,11 +77,11 @@
 
   /** Takes a job in. `spec` is null if the body was wrong; a known job gets its state all the same. */
   async submit(id: string, spec: Spec | string): Promise<Answer<View>> {
-    if (this.store.copy.has(jobKey(id))) return this.look(id, SUBMIT_LIMIT_MS);
+    if (this.store.copy.has(jobKey(id))) return this.status(id, SUBMIT_LIMIT_MS);
     const why = typeof spec === 'string' ? spec : this.neverRuns(spec);
     if (why !== null) {
-      const v = await this.look(id, SUBMIT_LIMIT_MS);
-      return v.kind === 'absent' ? { kind: 'never', why } : v;
+      const answer = await this.status(id, SUBMIT_LIMIT_MS);
+      return answer.kind === 'absent' ? { kind: 'never', why } : answer;
     }
     if (typeof spec === 'string') return { kind: 'never', why: spec };
     if (this.cutOff()) return cut;
@@ -100,15 +100,15 @@
     const record: JobRecord = { spec, submitted: new Date(), standing: 'open' };
     const key = jobKey(spec.id);
     for (let n = 0; ; n++) {
-      const r = await this.store.commit([{ key, stamp: 0 }], [{ write: key, value: writeJob(record) }]);
-      if (r.kind === 'ok')
+      const result = await this.store.commit([{ key, stamp: 0 }], [{ write: key, value: writeJob(record) }]);
+      if (result.kind === 'ok')
         return { kind: 'ok', fresh: true, value: { id: spec.id, standing: 'pending', done: 0, running: 0 } };
-      if (r.kind === 'conflict') {
-        if (!(await this.store.reached(r.rev, SUBMIT_LIMIT_MS - millisSince(began)))) return cut;
-        return this.look(spec.id, 1000);
+      if (result.kind === 'conflict') {
+        if (!(await this.store.reached(result.rev, SUBMIT_LIMIT_MS - millisSince(began)))) return cut;
+        return this.status(spec.id, 1000);
       }
       const pauseMs = jittered(150 * 2 ** n);
-      if (millisSince(began) + pauseMs > (r.kind === 'refused' ? 1200 : SUBMIT_LIMIT_MS)) return cut;
+      if (millisSince(began) + pauseMs > (result.kind === 'refused' ? 1200 : SUBMIT_LIMIT_MS)) return cut;
       await new Promise((done) => setTimeout(done, pauseMs));
     }
   }
@@ -122,19 +122,20 @@
       if (this.cutOff()) return cut;
       const e = this.store.copy.get(jobKey(id));
       if (e === undefined || n > 0) {
-        const v = await this.look(id, 1500);
-        if (v.kind !== 'ok' || v.value.standing === 'done' || v.value.standing === 'cancelled') return v;
+        const answer = await this.status(id, 1500);
+        if (answer.kind !== 'ok' || answer.value.standing === 'done' || answer.value.standing === 'cancelled')
+          return answer;
       }
       const entry = this.store.copy.get(jobKey(id));
       if (entry === undefined) continue;
       const record: JobRecord = { ...readJob(entry.value), standing: 'cancelled' };
-      const r = await this.store.commit(
+      const result = await this.store.commit(
         [{ key: jobKey(id), stamp: entry.stamp }],
         [{ write: jobKey(id), value: writeJob(record) }],
       );
-      if (r.kind === 'ok')
+      if (result.kind === 'ok')
         return { kind: 'ok', fresh: true, value: { id, standing: 'cancelled', done: 0, running: 0 } };
-      if (r.kind === 'refused') await new Promise((done) => setTimeout(done, jittered(150 * 2 ** n)));
+      if (result.kind === 'refused') await new Promise((done) => setTimeout(done, jittered(150 * 2 ** n)));
     }
     return cut;
   }
@@ -145,16 +146,16 @@
   }
 
   private neverRuns(spec: Spec): string | null {
-    if (!this.teams.some((t) => t.name === spec.team)) return `unknown team ${spec.team}`;
+    if (!this.teams.some((team) => team.name === spec.team)) return `unknown team ${spec.team}`;
     if (!everWithinLimit(spec, this.teams)) return 'more than the limit of its team';
     if (this.types.length === 0) return null;
     const fits = this.types.some(
-      (t) =>
-        (spec.types === null || spec.types.includes(t.name)) &&
-        (spec.zone === null || t.zones.includes(spec.zone)) &&
-        spec.cpus <= t.cpus &&
-        spec.gpus <= t.gpus &&
-        spec.memory <= t.memory,
+      (type) =>
+        (spec.types === null || spec.types.includes(type.name)) &&
+        (spec.zone === null || type.zones.includes(spec.zone)) &&
+        spec.cpus <= type.cpus &&
+        spec.gpus <= type.gpus &&
+        spec.memory <= type.memory,
     );
     return fits ? null : 'a task fits no machine type it may use';
   }
--- a/src/edge/service.ts
+++ b/src/edge/service.ts
@@ -1,10 +1,10 @@
 import { Subscription } from 'rxjs';
-import type { Knobs } from '../core/model.js';
+import type { OperatorSettings } from '../core/model.js';
 import { serve } from './api.js';
 import { millisSince, steady } from './clock.js';
 import { Cloud } from './cloud.js';
-import { Desk } from './desk.js';
-import { duty, messageOf, pause } from './duty.js';
+import { RequestHandler } from './request-handler.js';
+import { supervise, messageOf, pause } from './supervised-task.js';
 import { ImagesSeen } from './images.js';
 import { isHealthy } from './health.js';
 import { jittered } from './jitter.js';
@@ -21,7 +21,7 @@
 /** A controller: everything it does hangs on the subscription that this returns. */
 export function startService(
   p: Platform,
-  knobs: Knobs,
+  knobs: OperatorSettings,
   log: Log,
   onFatal: (why: string) => void,
 ): Subscription {
@@ -30,7 +30,7 @@
   const cloud = new Cloud(p.external.cloud, p.facts.cloud.rps, log);
   const memory = new Memory(p.facts.limits?.memory_mb ?? null, log);
   const sockets = shareSockets(p.facts.limits?.max_sockets ?? null);
-  const desk = new Desk(store, facts.teams, log, () => memory.tight);
+  const desk = new RequestHandler(store, facts.teams, log, () => memory.tight);
   const incarnation = `${p.label}-${new Date().getTime()}-${steady()}`;
   const images = new ImagesSeen(store, log);
   const owner = new Ownership(
@@ -75,7 +75,7 @@
   all.add(peers.start());
   all.add(owner.start());
   all.add(
-    duty('types for users', log, async (signal) => {
+    supervise('types for users', log, async (signal) => {
       while (!signal.aborted) {
         const types = await cloud.types(signal);
         if (types !== null) desk.types = types;
@@ -85,7 +85,7 @@
   );
   // A controller that is asked nothing still has to know whether the state service answers it.
   all.add(
-    duty('contact', log, async (signal) => {
+    supervise('contact', log, async (signal) => {
       while (!signal.aborted) {
         if (store.loaded && millisSince(store.freshAt) > 800) await store.fresh(1000);
         await pause(500, signal);
@@ -95,13 +95,13 @@
   all.add(
     serve({
       addr: p.api_addr,
-      desk,
+      requests: desk,
       log,
       healthy,
       sockets,
       coreShare: p.facts.limits?.core_share ?? 1,
       leading: () => owner.term !== null,
-      report: (r) => owner.term?.report(r) ?? null,
+      report: (report) => owner.term?.report(report) ?? null,
       ownerLabel: () => {
         const label = owner.ownerLabel();
         return label === p.label ? null : label;
--- a/src/edge/store.ts
+++ b/src/edge/store.ts
@@ -3,7 +3,7 @@
 import { ROOT, isReadable } from '../wire/records.js';
 import * as schemas from '../wire/schemas.js';
 import { steady } from './clock.js';
-import { duty, pause } from './duty.js';
+import { supervise, pause } from './supervised-task.js';
 import { HttpClient } from './http-client.js';
 import { jittered } from './jitter.js';
 import { warnSparsely, type Log } from './log.js';
@@ -58,8 +58,8 @@
     BARRIER_GAP_MS,
     async () => {
       const sent = steady();
-      const r = await this.commit([], [], 1000);
-      return r.kind === 'ok' ? { rev: r.rev, sent } : null;
+      const result = await this.commit([], [], 1000);
+      return result.kind === 'ok' ? { rev: result.rev, sent } : null;
     },
   );
   private refollow: AbortController | null = null;
@@ -73,7 +73,7 @@
   }
 
   start(): Subscription {
-    return duty('follow', this.log, (signal) => this.follow(signal));
+    return supervise('follow', this.log, (signal) => this.follow(signal));
   }
 
   get loaded(): boolean {
@@ -81,22 +81,22 @@
   }
 
   async commit(guards: readonly Guard[], writes: readonly Write[], limitMs = REQUEST_MS): Promise<Committed> {
-    const o = await this.client.request('POST', STORE_PATHS.commit, { guards, writes }, limitMs);
-    if (o.kind === 'unsent') return { kind: 'refused', why: o.why };
-    if (o.kind === 'unknown') return { kind: 'unknown', why: o.why };
-    if (o.status === 200) {
-      const r = schemas.revision.safeParse(o.body);
+    const outcome = await this.client.request('POST', STORE_PATHS.commit, { guards, writes }, limitMs);
+    if (outcome.kind === 'unsent') return { kind: 'refused', why: outcome.why };
+    if (outcome.kind === 'unknown') return { kind: 'unknown', why: outcome.why };
+    if (outcome.status === 200) {
+      const r = schemas.revision.safeParse(outcome.body);
       if (!r.success) return this.unread('answer without a revision');
       return { kind: 'ok', rev: r.data.ledgerRev };
     }
-    if (o.status === 409) {
-      const r = schemas.conflict.safeParse(o.body);
+    if (outcome.status === 409) {
+      const r = schemas.conflict.safeParse(outcome.body);
       if (!r.success) return this.unread('conflict without keys');
       return { kind: 'conflict', failed: r.data.failed, rev: r.data.ledgerRev };
     }
-    if (o.status === 429 || o.status === 503 || o.status === 400)
-      return { kind: 'refused', why: `status ${o.status}` };
-    return { kind: 'unknown', why: `status ${o.status}` };
+    if (outcome.status === 429 || outcome.status === 503 || outcome.status === 400)
+      return { kind: 'refused', why: `status ${outcome.status}` };
+    return { kind: 'unknown', why: `status ${outcome.status}` };
   }
 
   private unread(why: string): Committed {
@@ -106,21 +106,21 @@
 
   /** A new lease, or null if none could be had. */
   async grantLease(ttlMs: number): Promise<number | null> {
-    const o = await this.client.request('POST', STORE_PATHS.holds, { ttlMs }, REQUEST_MS);
-    if (o.kind !== 'answer' || o.status !== 200) return null;
-    const r = schemas.permit.safeParse(o.body);
+    const outcome = await this.client.request('POST', STORE_PATHS.holds, { ttlMs }, REQUEST_MS);
+    if (outcome.kind !== 'answer' || outcome.status !== 200) return null;
+    const r = schemas.permit.safeParse(outcome.body);
     return r.success ? r.data.permit : null;
   }
 
   async renewLease(permit: number): Promise<'ok' | 'ended' | 'unknown'> {
-    const o = await this.client.request(
+    const outcome = await this.client.request(
       'POST',
       `${STORE_PATHS.holds}/${permit}/${STORE_PATHS.renew}`,
       undefined,
       REQUEST_MS,
     );
-    if (o.kind !== 'answer') return 'unknown';
-    return o.status === 200 ? 'ok' : o.status === 404 ? 'ended' : 'unknown';
+    if (outcome.kind !== 'answer') return 'unknown';
+    return outcome.status === 200 ? 'ok' : outcome.status === 404 ? 'ended' : 'unknown';
   }
 
   async revokeLease(permit: number): Promise<void> {
@@ -169,7 +169,7 @@
       const stop = new AbortController();
       this.refollow = stop;
       const path = `${STORE_PATHS.follow}?under=${ROOT}&from=${this.rev}&holdMs=${FOLLOW_MS}`;
-      const o = await this.follower.request(
+      const outcome = await this.follower.request(
         'GET',
         path,
         undefined,
@@ -177,12 +177,12 @@
         AbortSignal.any([signal, stop.signal]),
       );
       this.refollow = null;
-      if (o.kind !== 'answer' || o.status !== 200) {
-        if (o.kind === 'answer' && o.status === 410) await this.load(signal);
+      if (outcome.kind !== 'answer' || outcome.status !== 200) {
+        if (outcome.kind === 'answer' && outcome.status === 410) await this.load(signal);
         else await pause(jittered(300), signal);
         continue;
       }
-      const r = schemas.news.safeParse(o.body);
+      const r = schemas.news.safeParse(outcome.body);
       if (!r.success) throw new Error('the state service sent news that cannot be read');
       for (const n of r.data.news) {
         const key = n.write ?? n.delete;
@@ -199,12 +199,12 @@
     for (;;) {
       if (signal.aborted) return;
       const query = `${STORE_PATHS.keys}?under=${ROOT}&page=500${from === null ? '' : `&from=${from}`}`;
-      const o = await this.client.request('GET', query, undefined, 3000);
-      if (o.kind !== 'answer' || o.status !== 200) {
+      const outcome = await this.client.request('GET', query, undefined, 3000);
+      if (outcome.kind !== 'answer' || outcome.status !== 200) {
         await pause(jittered(450), signal);
         continue;
       }
-      const p = schemas.page.parse(o.body);
+      const p = schemas.page.parse(outcome.body);
       // Pages are read one after the other: the copy is whole only once the news since the first is applied.
       first ??= p.ledgerRev;
       for (const i of p.items) {
--- /dev/null
+++ b/src/edge/supervised-task.ts
@@ -0,0 +1,47 @@
+/** @file Long-lived tasks that end with their owner and begin anew after an error. */
+import { type Log, warnSparsely } from './log.js';
+import { Observable, Subscription, retry, timer } from 'rxjs';
+
+export const messageOf = (e: unknown): string => (e instanceof Error ? e.message : String(e));
+
+/** Waits, or ends early (and quietly) when the signal is given. Callers look at the signal afterwards. */
+export function pause(ms: number, signal: AbortSignal): Promise<void> {
+  return new Promise((resolve) => {
+    if (signal.aborted) return resolve();
+    const done = (): void => {
+      clearTimeout(t);
+      signal.removeEventListener('abort', done);
+      resolve();
+    };
+    const t = setTimeout(done, ms);
+    signal.addEventListener('abort', done);
+  });
+}
+
+/**
+ * A long-lived duty as a subscription: unsubscribing aborts it, an error is logged and the duty begins anew. It lives
+ * as long as its owner holds the subscription.
+ */
+export function supervise(
+  name: string,
+  log: Log,
+  body: (signal: AbortSignal) => Promise<void>,
+): Subscription {
+  return new Observable<never>((subscriber) => {
+    const stop = new AbortController();
+    body(stop.signal).then(
+      () => subscriber.complete(),
+      (e: unknown) => subscriber.error(e),
+    );
+    return () => stop.abort();
+  })
+    .pipe(
+      retry({
+        delay: (e) => {
+          warnSparsely(log, { error: messageOf(e) }, `duty "${name}" failed and begins anew`);
+          return timer(250);
+        },
+      }),
+    )
+    .subscribe();
+}
--- a/src/edge/term.ts
+++ b/src/edge/term.ts
@@ -1,10 +1,10 @@
 import { setMaxListeners } from 'node:events';
 import { Subscription, interval } from 'rxjs';
 import { Owner, type Event } from '../core/owner.js';
-import type { Facts, Knobs, MachineType, Report } from '../core/model.js';
-import { mayAnswer, mayStart, othersQuietFrom } from '../core/parts.js';
+import type { Facts, OperatorSettings, MachineType, Report } from '../core/model.js';
+import { mayAnswer, mayStart, othersQuietFrom } from '../core/ownership-timing.js';
 import type { Transaction } from '../core/outbox.js';
-import { isBehind, type Effect, type Order, type RentOrder } from '../core/world.js';
+import { isBehind, type Effect, type Order, type RentOrder } from '../core/cluster-state.js';
 import {
   jobKey,
   pageKey,
@@ -18,18 +18,20 @@
 } from '../wire/records.js';
 import { now, steady } from './clock.js';
 import type { Cloud } from './cloud.js';
-import { Allowance, Wake, duty, messageOf, pause } from './duty.js';
+import { RateLimiter } from './rate-limiter.js';
+import { WakeSignal } from './wake-signal.js';
+import { supervise, messageOf, pause } from './supervised-task.js';
 import type { ImagesSeen } from './images.js';
 import { jittered } from './jitter.js';
 import type { Log } from './log.js';
 import type { Change, Guard, Store, Write } from './store.js';
 import { Workers } from './workers.js';
 
-export interface TermParts {
+export interface TermDependencies {
   readonly part: string;
   readonly record: PartRecord;
   readonly facts: Facts;
-  readonly knobs: Knobs;
+  readonly settings: OperatorSettings;
   readonly store: Store;
   readonly cloud: Cloud;
   readonly log: Log;
@@ -59,11 +61,11 @@
  * subscription, which ends with the term.
  */
 export class Term {
-  private readonly core: Owner;
+  private readonly owner: Owner;
   private readonly routines = new Subscription();
   private readonly workers: Workers;
-  private readonly commitWake = new Wake();
-  private readonly budget: Allowance;
+  private readonly commitWake = new WakeSignal();
+  private readonly budget: RateLimiter;
   private rentals = 0;
   private usersChanges = 0;
   private usersRate = 0;
@@ -74,7 +76,7 @@
   private readonly stop = new AbortController();
 
   constructor(
-    private readonly p: TermParts,
+    private readonly dependencies: TermDependencies,
     token: number,
     /** When the claim was sent that made us the owner: the first moment at which the state service surely knew us. */
     claimed: bigint,
@@ -84,60 +86,64 @@
     // Rentals and returns under way each listen for the end of the term; there is no fixed number of them.
     setMaxListeners(0, this.stop.signal);
     const t = now();
-    this.core = new Owner(p.facts, p.knobs, {
+    this.owner = new Owner(dependencies.facts, dependencies.settings, {
       token,
       began: t.steady,
       contact: claimed,
-      othersQuiet: othersQuietFrom(p.facts, t.steady),
+      othersQuiet: othersQuietFrom(dependencies.facts, t.steady),
     });
-    this.budget = new Allowance(p.writeRps * MOST_SHARE, Math.max(p.facts.txnOps, p.writeRps * 0.5));
+    this.budget = new RateLimiter(
+      dependencies.writeRps * MOST_SHARE,
+      Math.max(dependencies.facts.txnOps, dependencies.writeRps * 0.5),
+    );
     this.workers = new Workers(
-      p.directs,
-      () => this.core.world.token,
-      (o) =>
-        mayStart(this.core.world.contact, steady()) && this.core.world.jobs.get(o.job)?.standing === 'open',
-      (r) =>
+      dependencies.directs,
+      () => this.owner.state.token,
+      (order) =>
+        mayStart(this.owner.state.contact, steady()) &&
+        this.owner.state.jobs.get(order.job)?.standing === 'open',
+      (result) =>
         this.event({
           kind: 'direct',
-          machine: r.job.machine,
-          session: r.job.session,
-          token: r.token,
-          orders: r.job.orders,
-          outcome: r.outcome,
-          report: r.report,
+          machine: result.job.machine,
+          session: result.job.session,
+          token: result.token,
+          orders: result.job.orders,
+          outcome: result.outcome,
+          report: result.report,
         }),
     );
   }
 
   get token(): number {
-    return this.core.world.token;
+    return this.owner.state.token;
   }
 
   /** It is late with what workers ask. */
   get behind(): boolean {
-    return isBehind(this.core.world);
+    return isBehind(this.owner.state);
   }
 
   start(): void {
-    const { log, store } = this.p;
+    const { log, store } = this.dependencies;
     this.load();
     this.routines.add(this.workers.start());
     this.routines.add(() => this.stop.abort());
-    this.routines.add(store.changes.subscribe((c) => this.onChange(c)));
+    this.routines.add(store.changes.subscribe((change) => this.onChange(change)));
     this.routines.add(interval(TICK_MS).subscribe(() => this.tick()));
     this.routines.add(interval(1000).subscribe(() => this.share()));
-    this.routines.add(duty('lease', log, (s) => this.keepLease(s)));
-    this.routines.add(duty('heartbeat', log, (s) => this.heartbeat(s)));
-    this.routines.add(duty('commits', log, (s) => this.commits(s)));
-    this.routines.add(duty('machine list', log, (s) => this.pollList(s)));
-    this.routines.add(duty('machine types', log, (s) => this.pollTypes(s)));
+    this.routines.add(supervise('lease', log, (signal) => this.keepLease(signal)));
+    this.routines.add(supervise('heartbeat', log, (signal) => this.heartbeat(signal)));
+    this.routines.add(supervise('commits', log, (signal) => this.commits(signal)));
+    this.routines.add(supervise('machine list', log, (signal) => this.pollList(signal)));
+    this.routines.add(supervise('machine types', log, (signal) => this.pollTypes(signal)));
   }
 
   /** Sets what the owner may write by what users' changes took lately. */
   private share(): void {
     this.usersRate = this.usersRate * 0.5 + this.usersChanges * 0.5;
     this.usersChanges = 0;
-    const all = this.p.writeRps;
+    const all = this.dependencies.writeRps;
     const left = all * ALL_SHARE - this.usersRate * 1.25;
     this.budget.perSecond = Math.min(all * MOST_SHARE, Math.max(all * LEAST_SHARE, left));
   }
@@ -145,30 +151,31 @@
   end(why: string): void {
     if (this.over) return;
     this.over = true;
-    this.p.log.info({ token: this.token, why }, 'term over');
+    this.dependencies.log.info({ token: this.token, why }, 'term over');
     this.routines.unsubscribe();
-    this.p.onEnd(why);
+    this.dependencies.onEnd(why);
   }
 
   /** The answer to a worker's report, or null if we may no longer answer. */
-  report(r: Report): { token: number; orders: Order[] } | null {
-    if (this.over || !mayAnswer(this.p.facts, this.core.world.contact, steady())) return null;
-    this.event({ kind: 'report', report: r });
+  report(report: Report): { token: number; orders: Order[] } | null {
+    if (this.over || !mayAnswer(this.dependencies.facts, this.owner.state.contact, steady())) return null;
+    this.event({ kind: 'report', report: report });
     if (this.over) return null;
-    return { token: this.token, orders: this.core.answer(r, now()) };
+    return { token: this.token, orders: this.owner.answer(report, now()) };
   }
 
   private load(): void {
     const pages: { id: number; value: unknown; stamp: number }[] = [];
-    for (const [key, e] of this.p.store.copy) {
+    for (const [key, entry] of this.dependencies.store.copy) {
       const k = parseKey(key);
-      if (k.kind === 'job') this.event({ kind: 'job', id: k.id, record: readJob(e.value), stamp: e.stamp });
-      if (k.kind === 'page' && k.part === this.p.part)
-        pages.push({ id: k.id, value: e.value, stamp: e.stamp });
+      if (k.kind === 'job')
+        this.event({ kind: 'job', id: k.id, record: readJob(entry.value), stamp: entry.stamp });
+      if (k.kind === 'page' && k.part === this.dependencies.part)
+        pages.push({ id: k.id, value: entry.value, stamp: entry.stamp });
     }
     for (const p of pages) this.event({ kind: 'page', id: p.id, entries: readPage(p.value), stamp: p.stamp });
-    this.p.log.info(
-      { token: this.token, jobs: this.core.world.jobs.size, pages: pages.length },
+    this.dependencies.log.info(
+      { token: this.token, jobs: this.owner.state.jobs.size, pages: pages.length },
       'term begins',
     );
   }
@@ -177,83 +184,87 @@
     const t = steady();
     const late = t - this.tickedAt - BigInt(TICK_MS) * 1_000_000n;
     this.tickedAt = t;
-    this.core.ranLate(late > 0n ? late : 0n);
+    this.owner.ranLate(late > 0n ? late : 0n);
     this.event({ kind: 'tick' });
   }
 
-  private event(e: Event): void {
+  private event(event: Event): void {
     if (this.over) return;
-    const passed = this.core.world.passedAt;
+    const passed = this.owner.state.passedAt;
     const began = now();
-    const effects = this.core.handle(e, began);
-    if (this.core.world.passedAt !== passed) this.core.passTook(steady() - began.steady);
+    const effects = this.owner.handle(event, began);
+    if (this.owner.state.passedAt !== passed) this.owner.passTook(steady() - began.steady);
     for (const effect of effects) this.carryOut(effect);
-    if (this.core.world.dirty.size > 0 || this.core.world.dirtyJobs.size > 0) this.commitWake.wake();
+    if (this.owner.state.dirty.size > 0 || this.owner.state.dirtyJobs.size > 0) this.commitWake.wake();
   }
 
-  private carryOut(e: Effect): void {
-    const { log } = this.p;
-    switch (e.kind) {
+  private carryOut(effect: Effect): void {
+    const { log } = this.dependencies;
+    switch (effect.kind) {
       case 'note':
-        log[e.level](e.about, e.text);
+        log[effect.level](effect.about, effect.text);
         break;
       case 'direct': {
-        const endpoint = this.core.world.machines.get(e.machine)?.endpoint ?? '';
-        const job = { machine: e.machine, endpoint, session: e.session, orders: e.orders };
+        const endpoint = this.owner.state.machines.get(effect.machine)?.endpoint ?? '';
+        const job = { machine: effect.machine, endpoint, session: effect.session, orders: effect.orders };
         if (endpoint !== '') this.workers.push(job);
         break;
       }
       case 'rent':
-        this.rent(e.order);
+        this.rent(effect.order);
         break;
       case 'return':
-        this.giveBack(e.machines, e.why);
+        this.giveBack(effect.machines, effect.why);
         break;
       case 'raise':
-        this.raise = e.why;
+        this.raise = effect.why;
         this.commitWake.wake();
         break;
       case 'abdicate':
-        this.end(e.why);
-        this.p.onAbdicate();
+        this.end(effect.why);
+        this.dependencies.onAbdicate();
         // Without its lease the key goes at once, and another controller can take the part.
-        void this.p.store.revokeLease(this.lease);
+        void this.dependencies.store.revokeLease(this.lease);
         break;
       case 'deposed':
-        this.end(`a worker has seen the higher token ${e.token}`);
+        this.end(`a worker has seen the higher token ${effect.token}`);
         break;
     }
   }
 
   private rent(order: RentOrder): void {
     // The first token of a term is committed and belongs to this process alone: names made of it are never reused.
-    const name = `r-${this.core.world.firstToken}-${++this.rentals}`;
+    const name = `r-${this.owner.state.firstToken}-${++this.rentals}`;
     this.event({ kind: 'renting', name, order });
-    void this.p.cloud.rent(name, order, this.stop.signal).then((machines) => {
-      this.p.log.info({ name, wanted: order.count, got: machines?.length ?? 0 }, 'rental answered');
+    void this.dependencies.cloud.rent(name, order, this.stop.signal).then((machines) => {
+      this.dependencies.log.info(
+        { name, wanted: order.count, got: machines?.length ?? 0 },
+        'rental answered',
+      );
       this.event({ kind: 'rented', name, machines });
     });
   }
 
   private giveBack(machines: readonly string[], why: string): void {
-    this.p.log.info({ machines, why }, 'returning machines');
-    void this.p.cloud
-      .remove(machines, () => mayStart(this.core.world.contact, steady()), this.stop.signal)
+    this.dependencies.log.info({ machines, why }, 'returning machines');
+    void this.dependencies.cloud
+      .remove(machines, () => mayStart(this.owner.state.contact, steady()), this.stop.signal)
       .then((ok) => this.event({ kind: 'returned', machines, ok }));
   }
 
-  private onChange(c: Change): void {
-    const k = parseKey(c.key);
-    if (k.kind === 'job' && c.entry !== null) {
-      const record = readJob(c.entry.value);
+  private onChange(change: Change): void {
+    const key = parseKey(change.key);
+    if (key.kind === 'job' && change.entry !== null) {
+      const record = readJob(change.entry.value);
       if (record.standing !== 'done') this.usersChanges += 1;
-      this.event({ kind: 'job', id: k.id, record, stamp: c.entry.stamp });
+      this.event({ kind: 'job', id: key.id, record, stamp: change.entry.stamp });
     }
-    if (k.kind === 'part' && k.part === this.p.part) {
+    if (key.kind === 'part' && key.part === this.dependencies.part) {
       const mine =
-        c.entry !== null && (c.entry.value as PartRecord).incarnation === this.p.record.incarnation;
+        change.entry !== null &&
+        (change.entry.value as PartRecord).incarnation === this.dependencies.record.incarnation;
       // Our own key may be followed late, but a key that is gone or another's is the end of the term.
-      if (!mine && (c.entry === null || c.entry.stamp > this.core.world.firstToken))
+      if (!mine && (change.entry === null || change.entry.stamp > this.owner.state.firstToken))
         this.end('the part has another owner');
     }
   }
@@ -267,7 +278,7 @@
     while (!signal.aborted) {
       if (underWay < MOST_RENEWALS) {
         underWay += 1;
-        void this.p.store.renewLease(this.lease).then((r) => {
+        void this.dependencies.store.renewLease(this.lease).then((r) => {
           underWay -= 1;
           if (r === 'ended' && !signal.aborted) this.end('the lease in the state service ended');
         });
@@ -280,26 +291,31 @@
   private async heartbeat(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       const sent = steady();
-      const r = await this.p.store.commit([this.guard()], [], 1000);
+      const result = await this.dependencies.store.commit([this.guard()], [], 1000);
       if (signal.aborted) return;
-      if (r.kind === 'ok' && (await this.p.store.reached(r.rev, 1000)))
+      if (result.kind === 'ok' && (await this.dependencies.store.reached(result.rev, 1000)))
         this.event({ kind: 'contact', at: sent });
-      if (r.kind === 'conflict' && !(await this.stillOwner())) return this.end('the part has changed hands');
+      if (result.kind === 'conflict' && !(await this.stillOwner()))
+        return this.end('the part has changed hands');
       await pause(HEARTBEAT_MS, signal);
     }
   }
 
   /** After a conflict on our own key: our own raise may just have been carried out, or the term is over. */
   private async stillOwner(): Promise<boolean> {
-    if (!(await this.p.store.fresh(2000))) return true;
-    const e = this.p.store.copy.get(partKey(this.p.part));
-    if (e === undefined || (e.value as PartRecord).incarnation !== this.p.record.incarnation) return false;
-    if (e.stamp > this.token) this.event({ kind: 'raised', token: e.stamp });
+    if (!(await this.dependencies.store.fresh(2000))) return true;
+    const entry = this.dependencies.store.copy.get(partKey(this.dependencies.part));
+    if (
+      entry === undefined ||
+      (entry.value as PartRecord).incarnation !== this.dependencies.record.incarnation
+    )
+      return false;
+    if (entry.stamp > this.token) this.event({ kind: 'raised', token: entry.stamp });
     return true;
   }
 
   private guard(): Guard {
-    return { key: partKey(this.p.part), stamp: this.token };
+    return { key: partKey(this.dependencies.part), stamp: this.token };
   }
 
   private async commits(signal: AbortSignal): Promise<void> {
@@ -307,41 +323,41 @@
       await this.commitWake.wait(500, signal);
       if (signal.aborted) return;
       if (this.raise !== null) await this.raiseToken(signal);
-      const t = this.core.nextTransaction(now());
-      if (t === null) continue;
-      const wait = this.budget.take(t.pages.length + t.done.length);
+      const transaction = this.owner.nextTransaction(now());
+      if (transaction === null) continue;
+      const wait = this.budget.take(transaction.pages.length + transaction.done.length);
       if (wait > 0) await pause(wait, signal);
       if (signal.aborted) return;
-      await this.commit(t, signal);
+      await this.commit(transaction, signal);
       this.commitWake.wake();
     }
   }
 
   private async raiseToken(signal: AbortSignal): Promise<void> {
-    this.p.log.info({ why: this.raise }, 'raising the token');
+    this.dependencies.log.info({ why: this.raise }, 'raising the token');
     this.raise = null;
-    const r = await this.p.store.commit(
+    const result = await this.dependencies.store.commit(
       [this.guard()],
-      [{ write: partKey(this.p.part), value: this.p.record, permit: this.lease }],
+      [{ write: partKey(this.dependencies.part), value: this.dependencies.record, permit: this.lease }],
     );
     if (signal.aborted) return;
-    if (r.kind === 'ok') this.event({ kind: 'raised', token: r.rev });
-    else if (r.kind === 'conflict' && !(await this.stillOwner())) this.end('the part has changed hands');
+    if (result.kind === 'ok') this.event({ kind: 'raised', token: result.rev });
+    else if (result.kind === 'conflict' && !(await this.stillOwner())) this.end('the part has changed hands');
   }
 
   /** Sends a transaction until its fate is known. Its guards make repeats harmless. */
-  private async commit(t: Transaction, signal: AbortSignal): Promise<void> {
-    const { store } = this.p;
-    const guards: Guard[] = [{ key: partKey(this.p.part), stamp: t.token }];
+  private async commit(transaction: Transaction, signal: AbortSignal): Promise<void> {
+    const { store } = this.dependencies;
+    const guards: Guard[] = [{ key: partKey(this.dependencies.part), stamp: transaction.token }];
     const writes: Write[] = [];
-    for (const [id, stamp] of t.jobs) guards.push({ key: jobKey(id), stamp });
-    for (const page of t.pages) {
-      const key = pageKey(this.p.part, page.id);
+    for (const [id, stamp] of transaction.jobs) guards.push({ key: jobKey(id), stamp });
+    for (const page of transaction.pages) {
+      const key = pageKey(this.dependencies.part, page.id);
       guards.push({ key, stamp: page.stamp });
-      writes.push({ write: key, value: writePage(page.entries, this.p.facts.zones) });
+      writes.push({ write: key, value: writePage(page.entries, this.dependencies.facts.zones) });
     }
-    for (const id of t.done) {
-      const job = this.core.world.jobs.get(id);
+    for (const id of transaction.done) {
+      const job = this.owner.state.jobs.get(id);
       if (job !== undefined)
         writes.push({
           write: jobKey(id),
@@ -350,50 +366,52 @@
     }
     let doubtful = false;
     for (let n = 0; !signal.aborted; n++) {
-      const r = await store.commit(guards, writes);
+      const result = await store.commit(guards, writes);
       if (signal.aborted) return;
-      if (r.kind === 'ok') return this.event({ kind: 'settled', transaction: t, stamp: r.rev });
-      if (r.kind === 'conflict') return this.onConflict(t, r, doubtful, signal);
-      if (r.kind === 'unknown') doubtful = true;
-      this.p.log.debug({ why: r.why, n }, 'transaction not settled yet');
+      if (result.kind === 'ok')
+        return this.event({ kind: 'settled', transaction: transaction, stamp: result.rev });
+      if (result.kind === 'conflict') return this.onConflict(transaction, result, doubtful, signal);
+      if (result.kind === 'unknown') doubtful = true;
+      this.dependencies.log.debug({ why: result.why, n }, 'transaction not settled yet');
       await pause(jittered(Math.min(100 * 2 ** n, 1500)), signal);
     }
   }
 
   private async onConflict(
-    t: Transaction,
+    transaction: Transaction,
     conflict: { readonly failed: readonly string[]; readonly rev: number },
     doubtful: boolean,
     signal: AbortSignal,
   ): Promise<void> {
-    const { store } = this.p;
+    const { store } = this.dependencies;
     const { failed } = conflict;
     // What the conflict means can only be read from a copy that holds it: an older one still shows the stamps that the
     // transaction was guarded by, and taking those for what it left behind would fail every later write of the page.
     while (!(await store.reached(conflict.rev, 2000))) if (signal.aborted) return;
     if (!(await this.stillOwner())) return this.end('the part has changed hands');
-    const moved = t.pages.find((c) => failed.includes(pageKey(this.p.part, c.id)));
+    const moved = transaction.pages.find((page) => failed.includes(pageKey(this.dependencies.part, page.id)));
     // Pages have one writer: a page that moved on was moved by an earlier copy of this very transaction.
     if (moved !== undefined) {
-      const e = store.copy.get(pageKey(this.p.part, moved.id));
-      if (doubtful && e !== undefined) return this.event({ kind: 'settled', transaction: t, stamp: e.stamp });
+      const entry = store.copy.get(pageKey(this.dependencies.part, moved.id));
+      if (doubtful && entry !== undefined)
+        return this.event({ kind: 'settled', transaction: transaction, stamp: entry.stamp });
       return this.end('a page was written by somebody else');
     }
-    if (doubtful && t.pages.length === 0) {
-      const all = t.done.every((id) => {
-        const e = store.copy.get(jobKey(id));
-        return e !== undefined && readJob(e.value).standing === 'done';
+    if (doubtful && transaction.pages.length === 0) {
+      const all = transaction.done.every((id) => {
+        const entry = store.copy.get(jobKey(id));
+        return entry !== undefined && readJob(entry.value).standing === 'done';
       });
-      if (all) return this.event({ kind: 'settled', transaction: t, stamp: store.rev });
+      if (all) return this.event({ kind: 'settled', transaction: transaction, stamp: store.rev });
     }
-    this.p.log.info({ failed }, 'transaction refused by its guards; planned anew');
+    this.dependencies.log.info({ failed }, 'transaction refused by its guards; planned anew');
   }
 
   private async pollList(signal: AbortSignal): Promise<void> {
-    const every = Math.max(2000, Number(this.p.facts.listLag) / 1e6);
+    const every = Math.max(2000, Number(this.dependencies.facts.listLag) / 1e6);
     while (!signal.aborted) {
       const sent = steady();
-      const machines = await this.p.cloud.list(signal);
+      const machines = await this.dependencies.cloud.list(signal);
       if (signal.aborted) return;
       if (machines !== null) this.event({ kind: 'list', machines, sent });
       await pause(machines === null ? jittered(1000) : every, signal);
@@ -403,13 +421,14 @@
   /** What this controller saw as a bystander: once, as soon as it is known how fast machines fetch. */
   private tellImages(types: readonly MachineType[]): void {
     this.imagesTold = true;
-    const rates = types.map((t) => t.fetchGbPerS).filter((r) => r > 0);
-    if (rates.length > 0) this.event({ kind: 'images', seen: this.p.images.likely(Math.min(...rates)) });
+    const rates = types.map((type) => type.fetchGbPerS).filter((r) => r > 0);
+    if (rates.length > 0)
+      this.event({ kind: 'images', seen: this.dependencies.images.likely(Math.min(...rates)) });
   }
 
   private async pollTypes(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      const types = await this.p.cloud.types(signal);
+      const types = await this.dependencies.cloud.types(signal);
       if (signal.aborted) return;
       if (types !== null) {
         this.event({ kind: 'types', types });
--- a/src/edge/workers.ts
+++ b/src/edge/workers.ts
@@ -1,6 +1,6 @@
 import { Subject, concatMap, defer, groupBy, mergeMap, type Subscription } from 'rxjs';
 import type { Report } from '../core/model.js';
-import type { Order } from '../core/world.js';
+import type { Order } from '../core/cluster-state.js';
 import { WORKER_PATHS, orders, parseReport } from '../wire/dialect.js';
 import { HttpClient } from './http-client.js';
 
@@ -37,19 +37,19 @@
     private readonly most: number,
     private readonly token: () => number,
     /** Whether a start may still be sent: asked when a command is sent, which may be long after it was given. */
-    private readonly mayStart: (o: Order) => boolean,
-    private readonly result: (r: DirectResult) => void,
+    private readonly mayStart: (order: Order) => boolean,
+    private readonly result: (result: DirectResult) => void,
   ) {}
 
   start(): Subscription {
     const routines = this.queue
       .pipe(
-        groupBy((j) => j.machine),
-        mergeMap((one) => one.pipe(concatMap((j) => defer(() => this.send(j))))),
+        groupBy((call) => call.machine),
+        mergeMap((one) => one.pipe(concatMap((call) => defer(() => this.send(call))))),
       )
-      .subscribe((r) => {
-        if (r.job.orders.length === 0) this.asked.delete(r.job.machine);
-        this.result(r);
+      .subscribe((result) => {
+        if (result.job.orders.length === 0) this.asked.delete(result.job.machine);
+        this.result(result);
       });
     routines.add(() => {
       for (const c of this.clients.values()) c.client.close();
@@ -58,13 +58,13 @@
     return routines;
   }
 
-  push(j: DirectJob): void {
+  push(call: DirectJob): void {
     // One question at a time: those to a machine that hangs piled up behind one another, and each cost a connection.
-    if (j.orders.length === 0) {
-      if (this.asked.has(j.machine)) return;
-      this.asked.add(j.machine);
+    if (call.orders.length === 0) {
+      if (this.asked.has(call.machine)) return;
+      this.asked.add(call.machine);
     }
-    this.queue.next(j);
+    this.queue.next(call);
   }
 
   private clientOf(endpoint: string): { readonly client: HttpClient; busy: number } {
@@ -100,23 +100,23 @@
     const token = this.token();
     // A command may have waited behind a slow one, or we stood still meanwhile: nothing is started on an old word, nor
     // for a job that was cancelled in the meantime.
-    if (job.orders.some((o) => o.op === 'start' && !this.mayStart(o)))
+    if (job.orders.some((order) => order.op === 'start' && !this.mayStart(order)))
       return { job, token, outcome: 'refused', report: null };
     const at = this.clientOf(job.endpoint);
     at.busy += 1;
-    const o = await at.client.request(
+    const outcome = await at.client.request(
       'POST',
       WORKER_PATHS.commands,
       orders(token, job.orders, job.session),
       LIMIT_MS,
     );
     at.busy -= 1;
-    if (o.kind === 'unsent') return { job, token, outcome: 'refused', report: null };
-    if (o.kind === 'unknown') return { job, token, outcome: 'unknown', report: null };
-    const r = parseReport(o.body);
+    if (outcome.kind === 'unsent') return { job, token, outcome: 'refused', report: null };
+    if (outcome.kind === 'unknown') return { job, token, outcome: 'unknown', report: null };
+    const r = parseReport(outcome.body);
     const report = r.ok ? r.value : null;
-    if (o.status === 200) return { job, token, outcome: 'executed', report };
-    if (o.status === 409 || o.status === 400) return { job, token, outcome: 'refused', report };
+    if (outcome.status === 200) return { job, token, outcome: 'executed', report };
+    if (outcome.status === 409 || outcome.status === 400) return { job, token, outcome: 'refused', report };
     return { job, token, outcome: 'unknown', report: null };
   }
 }
--- a/src/main.ts
+++ b/src/main.ts
@@ -1,6 +1,6 @@
 import { Command, CommanderError } from 'commander';
 import { version } from '../package.json';
-import { readKnobs } from './edge/knobs.js';
+import { readOperatorSettings } from './edge/operator-settings.js';
 import { makeLog } from './edge/log.js';
 import { startService } from './edge/service.js';
 import { SettingsError, readPlatform } from './edge/settings.js';
@@ -20,7 +20,7 @@
   .exitOverride()
   .action((o: Options) => {
     const platform = readPlatform(o.config);
-    const knobs = readKnobs(o.settings);
+    const knobs = readOperatorSettings(o.settings);
     if (o.check === true) {
       process.stdout.write('settings are valid\n');
       return;
--- a/src/wire/dialect.ts
+++ b/src/wire/dialect.ts
@@ -1,7 +1,7 @@
 import type * as z from 'zod';
 import type { Listed, MachineType, Priority, Kind, Report, SeenTask, Spec } from '../core/model.js';
 import { seconds, toSeconds } from '../core/time.js';
-import type { Order } from '../core/world.js';
+import type { Order } from '../core/cluster-state.js';
 import * as schemas from './schemas.js';
 
 /** The one place that knows the interfaces' words (`docket`, `rig`, `baton`, …) for the names used inside. */
@@ -175,11 +175,11 @@
   return {
     baton: token,
     shift: session,
-    orders: list.map((o) => ({
-      verb: VERBS[o.op],
-      ticket: `${o.job}/${o.task}`,
-      try: o.attempt,
-      windDownS: o.op === 'stop' ? (o.grace ?? 0) : undefined,
+    orders: list.map((order) => ({
+      verb: VERBS[order.op],
+      ticket: `${order.job}/${order.task}`,
+      try: order.attempt,
+      windDownS: order.op === 'stop' ? (order.grace ?? 0) : undefined,
     })),
   };
 }
--- a/src/wire/frames.ts
+++ b/src/wire/frames.ts
@@ -20,19 +20,19 @@
 const NEVER = 0xffffffff;
 export const FRAME_LIMIT = 512;
 
-export function statusFrame(s: Status): Buffer {
-  const label = Buffer.from(s.label, 'utf8').subarray(0, 255);
+export function statusFrame(status: Status): Buffer {
+  const label = Buffer.from(status.label, 'utf8').subarray(0, 255);
   const b = Buffer.alloc(HEAD + FIXED + label.length);
   b.writeUInt16BE(MAGIC, 0);
   b.writeUInt8(VERSION, 2);
   b.writeUInt8(STATUS, 3);
   b.writeUInt16BE(FIXED + label.length, 4);
-  b.writeUInt8(s.owner ? OWNER : 0, 6);
+  b.writeUInt8(status.owner ? OWNER : 0, 6);
   b.writeUInt32BE(
-    s.contactMs === null ? NEVER : Math.min(Math.max(0, Math.round(s.contactMs)), NEVER - 1),
+    status.contactMs === null ? NEVER : Math.min(Math.max(0, Math.round(status.contactMs)), NEVER - 1),
     7,
   );
-  b.writeBigUInt64BE(BigInt.asUintN(64, s.token), 11);
+  b.writeBigUInt64BE(BigInt.asUintN(64, status.token), 11);
   b.writeUInt8(label.length, 19);
   label.copy(b, HEAD + FIXED);
   return b;
@@ -42,8 +42,8 @@
 export class FrameReader {
   private raw: Buffer = Buffer.alloc(0);
 
-  push(d: Buffer): Status[] {
-    this.raw = this.raw.length === 0 ? d : Buffer.concat([this.raw, d]);
+  push(data: Buffer): Status[] {
+    this.raw = this.raw.length === 0 ? data : Buffer.concat([this.raw, data]);
     const out: Status[] = [];
     while (this.raw.length >= HEAD) {
       if (this.raw.readUInt16BE(0) !== MAGIC) throw new Error('not a frame');
--- a/src/wire/records.ts
+++ b/src/wire/records.ts
@@ -1,6 +1,6 @@
 import * as z from 'zod';
-import type { ChunkImage } from '../core/jobs.js';
-import type { PageEntry } from '../core/pages.js';
+import type { ChunkRecord } from '../core/chunks.js';
+import type { PageEntry } from '../core/record-pages.js';
 import type { JobRecord, Spec } from '../core/model.js';
 import { seconds, toSeconds } from '../core/time.js';
 
@@ -59,17 +59,17 @@
   }),
 });
 
-export function writeJob(r: JobRecord): unknown {
-  const s = r.spec;
+export function writeJob(record: JobRecord): unknown {
+  const spec = record.spec;
   return {
-    st: r.standing,
-    at: r.submitted.toISOString(),
+    st: record.standing,
+    at: record.submitted.toISOString(),
     s: {
-      ...s,
-      estimate: toSeconds(s.estimate),
-      checkpoint: toSeconds(s.checkpoint),
-      save: toSeconds(s.save),
-      due: s.due === null ? null : toSeconds(s.due),
+      ...spec,
+      estimate: toSeconds(spec.estimate),
+      checkpoint: toSeconds(spec.checkpoint),
+      save: toSeconds(spec.save),
+      due: spec.due === null ? null : toSeconds(spec.due),
     },
   };
 }
@@ -125,7 +125,7 @@
 const nameOut = (s: string): string =>
   encodeURIComponent(s).replace(/[.!'()*~]/g, (c) => `%${c.charCodeAt(0).toString(16).toUpperCase()}`);
 
-const written = new WeakMap<ChunkImage, Map<string, string>>();
+const written = new WeakMap<ChunkRecord, Map<string, string>>();
 
 /**
  * A page is one text, since hundreds of places a second go through it and it must stay short: zone names, then one
@@ -138,20 +138,20 @@
     const at = names.indexOf(name);
     return at >= 0 ? at : names.push(name) - 1;
   };
-  const rows = entries.map((e) => {
+  const rows = entries.map((entry) => {
     // Only what changed since the last write is put into words again.
-    const texts = written.get(e.image) ?? new Map<string, string>();
-    written.set(e.image, texts);
+    const texts = written.get(entry.record) ?? new Map<string, string>();
+    written.set(entry.record, texts);
     const cached = texts.get(zones.join());
     if (cached !== undefined) return cached;
-    const done = runs(e.image.done)
+    const done = runs(entry.record.done)
       .map(([a, b]) => (a === b ? String(a) : `${a}-${b}`))
       .join(',');
     const known = names.length;
-    const places = e.image.intents
+    const places = entry.record.intents
       .map((i) => `${i.task}.${i.attempt}.${nameOut(i.machine)}.${i.session}.${zoneOf(i.zone)}`)
       .join(',');
-    const row = `${e.job}/${e.index} a${e.image.attempt} c${e.image.done.length},${e.image.intents.length} ${done} ${places}`;
+    const row = `${entry.job}/${entry.index} a${entry.record.attempt} c${entry.record.done.length},${entry.record.intents.length} ${done} ${places}`;
     // A row with a zone of its own is good for this page alone.
     if (names.length === known && known === zones.length) texts.set(zones.join(), row);
     return row;
@@ -183,7 +183,7 @@
         zone: zones[Number(zone)] ?? '',
       };
     });
-    return { job: m[1] ?? '', index: Number(m[2]), image: { attempt: Number(m[3]), done, intents } };
+    return { job: m[1] ?? '', index: Number(m[2]), record: { attempt: Number(m[3]), done, intents } };
   });
 }
 
