--- /dev/null
+++ b/measure/memory.ts
@@ -0,0 +1,168 @@
+import { connect, createServer, type Socket } from 'node:net';
+import { Subject } from 'rxjs';
+import { Owner } from '../src/core/owner.js';
+import { othersQuietFrom } from '../src/core/ownership-timing.js';
+import type { JobRecord, Report } from '../src/core/model.js';
+import { seconds, type Now } from '../src/core/time.js';
+import { Counts } from '../src/edge/counts.js';
+import { DecodedPages } from '../src/edge/decoded-pages.js';
+import { EndedJobs } from '../src/edge/ended-jobs.js';
+import { DEFAULT_SETTINGS } from '../src/edge/operator-settings.js';
+import { Intake, readReports } from '../src/edge/reports.js';
+import type { Change, Entry, Store } from '../src/edge/store.js';
+import { jobKey, pageKey, writeJob, writePage, type EndedJob } from '../src/wire/records.js';
+import { decode, encode } from '../src/wire/cbor.js';
+import { FACTS, TYPE, spec } from '../test/player.js';
+
+/**
+ * What the parts of a controller hold, each built alone in one process and looked at after a full collection. Run by
+ * hand: `npm run memory -- MACHINES OPEN_JOBS FINISHED_JOBS`. The engine's own pages are in "engine and program".
+ */
+const [machines = 870, openJobs = 120, finishedJobs = 5000] = process.argv.slice(2).map(Number);
+const TASKS = 20;
+
+interface Held {
+  readonly heap: number;
+  readonly buffers: number;
+  readonly rss: number;
+}
+
+function held(): Held {
+  globalThis.gc?.();
+  globalThis.gc?.();
+  const { heapUsed, external, rss } = process.memoryUsage();
+  return { heap: heapUsed, buffers: external, rss };
+}
+
+const megabytes = (bytes: number): string => (bytes / 2 ** 20).toFixed(2).padStart(8);
+let last = held();
+
+function tell(part: string): void {
+  const now = held();
+  const row = [now.heap - last.heap, now.buffers - last.buffers, now.rss - last.rss].map(megabytes);
+  console.log(
+    `${part.padEnd(56)} heap ${row[0] ?? ''} MB, buffers ${row[1] ?? ''} MB, resident ${row[2] ?? ''} MB`,
+  );
+  last = now;
+}
+
+const at = (s: number): Now => ({
+  steady: seconds(1000 + s),
+  wall: new Date(Date.UTC(2030, 0, 1) + s * 1000),
+});
+
+/** A followed copy without a state service. */
+class Copy {
+  readonly copy = new Map<string, Entry>();
+  readonly changes = new Subject<Change>();
+  readonly loading = false;
+  private stamp = 0;
+
+  put(key: string, value: unknown): void {
+    // As it comes over the wire: nothing is shared with what wrote it.
+    const entry = { value: decode(encode(value)), stamp: ++this.stamp };
+    this.copy.set(key, entry);
+    this.changes.next({ key, entry });
+  }
+
+  abridge(key: string, value: EndedJob): void {
+    this.copy.set(key, { value, stamp: this.copy.get(key)?.stamp ?? 0 });
+  }
+}
+
+const owner = new Owner(FACTS, DEFAULT_SETTINGS, {
+  token: 1,
+  began: at(0).steady,
+  contact: at(0).steady,
+  othersQuiet: othersQuietFrom(FACTS, at(0).steady),
+});
+owner.handle({ kind: 'types', types: [TYPE] }, at(0));
+
+const nameOf = (n: number): string => `n-${String(n).padStart(6, '0')}`;
+
+function reportOf(n: number, seq: number): Report {
+  const machine = {
+    machine: nameOf(n),
+    endpoint: `10.1.0.${n}:9000`,
+    type: 'big',
+    zone: 'east',
+    spot: false,
+  };
+  return { ...machine, session: 1, seq, token: 1, notice: null, tasks: [] };
+}
+
+const recordOf = (n: number, standing: JobRecord['standing']): JobRecord => ({
+  spec: spec(`req-${n}`, { tasks: TASKS }),
+  submitted: at(0).wall,
+  standing,
+});
+
+async function connections(): Promise<() => void> {
+  const intake = new Intake();
+  const inbound = new Set<Socket>();
+  const server = createServer((socket) => {
+    inbound.add(socket);
+    readReports(
+      socket,
+      65_536,
+      intake,
+      () => ({ status: 503, body: Buffer.alloc(0) }),
+      () => undefined,
+    );
+  });
+  await new Promise<void>((listening) => server.listen(0, '127.0.0.1', listening));
+  const address = server.address();
+  const port = typeof address === 'object' && address !== null ? address.port : 0;
+  const outbound = await Promise.all(
+    Array.from(
+      { length: machines },
+      () =>
+        new Promise<Socket>((connected) => {
+          const socket = connect(port, '127.0.0.1', () => connected(socket));
+        }),
+    ),
+  );
+  return () => {
+    server.close();
+    for (const socket of [...inbound, ...outbound]) socket.destroy();
+  };
+}
+
+async function main(): Promise<void> {
+  console.log(
+    `engine and program (compiled by tsx): resident ${megabytes(last.rss)} MB, heap ${megabytes(last.heap)} MB`,
+  );
+  for (let n = 0; n < machines; n++) owner.handle({ kind: 'report', report: reportOf(n, 1) }, at(0));
+  tell(`${machines} machine records`);
+  for (let n = 0; n < openJobs; n++)
+    owner.handle({ kind: 'job', id: `req-${n}`, record: recordOf(n, 'open'), stamp: n + 1 }, at(1));
+  tell(`${openJobs} open jobs of ${TASKS} tasks, as placed by the owner`);
+  const copy = new Copy();
+  const counts = new Counts(copy as unknown as Store);
+  const ended = new EndedJobs(copy, counts);
+  const pages = new DecodedPages();
+  const routine = ended.start();
+  for (let n = 0; n < openJobs; n++) copy.put(jobKey(`req-${n}`), writeJob(recordOf(n, 'open')));
+  tell('their records in the followed copy');
+  for (let n = 0; n < openJobs / 2; n++) {
+    const intents = Array.from({ length: 40 }, (_, task) => ({
+      ...{ task, attempt: 1, machine: nameOf(task), session: 1, zone: 'east' },
+    }));
+    copy.put(
+      pageKey('all', n),
+      writePage([{ job: `req-${n}`, index: 0, record: { attempt: 1, done: [], intents } }], FACTS.zones),
+    );
+    const entry = copy.copy.get(pageKey('all', n));
+    if (entry !== undefined) pages.of(entry);
+  }
+  tell(`${openJobs / 2} pages of 40 places, taken apart`);
+  for (let n = 0; n < finishedJobs; n++) copy.put(jobKey(`req-9${n}`), writeJob(recordOf(n, 'done')));
+  ended.sweep();
+  tell(`${finishedJobs} finished jobs in the followed copy`);
+  const close = await connections();
+  tell(`${machines} workers' connections, and the other ends of them`);
+  close();
+  routine.unsubscribe();
+}
+
+void main().then(() => process.exit(0));
--- a/src/core/chunks.ts
+++ b/src/core/chunks.ts
@@ -14,6 +14,7 @@
   readonly intents: readonly IntentRecord[];
 }
 
+/** One recorded place of a task. */
 export interface IntentRecord {
   readonly task: number;
   readonly attempt: number;
@@ -22,6 +23,7 @@
   readonly zone: string;
 }
 
+/** A chunk with nothing placed yet. */
 export const newChunk = (job: string, index: number, attempt: number, done: readonly number[]): Chunk => ({
   job,
   index,
@@ -34,6 +36,7 @@
   record: null,
 });
 
+/** The chunk that records a task, made when it is first needed. */
 export function chunkOf(job: Job, task: number): Chunk {
   const index = Math.floor(task / CHUNK_TASKS);
   let chunk = job.chunks.get(index);
@@ -80,5 +83,6 @@
   for (const chunk of job.chunks.values()) if (chunk.intents.size === 0) leavePage(chunk);
 }
 
+/** Whether the record that holds the intent is committed. */
 export const isCommitted = (job: Job, intent: Intent): boolean =>
   chunkOf(job, intent.task).committed >= intent.version;
--- /dev/null
+++ b/src/core/closed-jobs.ts
@@ -0,0 +1,26 @@
+import { closeChunks } from './chunks.js';
+import type { ClusterState } from './cluster-state.js';
+import { seconds, type Steady } from './time.js';
+
+/** The demand forecast looks at what was submitted lately, finished or not. */
+const KEPT = seconds(120);
+
+/**
+ * Lets go of jobs that have been over for a while and of which nothing is placed any more. What a worker still says of
+ * them is answered as for any job that is not open: its tasks are stopped, its results forgotten.
+ */
+export function releaseClosedJobs(state: ClusterState, now: Steady): void {
+  for (const [id, since] of state.closed) {
+    if (now - since < KEPT) return;
+    state.closed.delete(id);
+    const job = state.jobs.get(id);
+    if (job === undefined || job.standing === 'open') continue;
+    if (job.placedCount > 0) {
+      state.closed.set(id, now);
+      continue;
+    }
+    closeChunks(job);
+    state.dirtyJobs.delete(id);
+    state.jobs.delete(id);
+  }
+}
--- a/src/core/cluster-state.ts
+++ b/src/core/cluster-state.ts
@@ -2,6 +2,7 @@
 import { Quota } from './quota.js';
 import { seconds, type Span, type Steady } from './time.js';
 
+/** What a worker is told to do with one attempt of a task. */
 export interface Order {
   readonly op: 'start' | 'stop' | 'forget';
   readonly job: string;
@@ -10,6 +11,7 @@
   readonly grace?: number;
 }
 
+/** Machines of one kind to rent together. */
 export interface RentOrder {
   readonly type: string;
   readonly zone: string;
@@ -64,6 +66,10 @@
   lastArrival: Steady;
   /** Jobs that are neither done nor cancelled. */
   readonly open: Set<string>;
+  /** Jobs that are over, in the order in which that came to be known, with when. */
+  readonly closed: Map<string, Steady>;
+  /** Machines that passes have looked at: what is done when nothing is to be done is counted by tests. */
+  machinesScanned: number;
   readonly pages: Map<number, Page>;
   /** Counts every change of what is recorded. */
   version: number;
@@ -109,6 +115,7 @@
   listSeen: boolean;
 }
 
+/** An exited task whose result must be committed before the worker may forget it. */
 export interface Forget {
   readonly job: string;
   readonly task: number;
@@ -118,6 +125,7 @@
   readonly since: Steady;
 }
 
+/** What a term as owner begins with. */
 export interface Term {
   readonly token: number;
   readonly began: Steady;
@@ -129,6 +137,7 @@
   readonly othersQuiet: Steady;
 }
 
+/** The state at the beginning of a term, before anything is read. */
 export function newClusterState(facts: Facts, knobs: OperatorSettings, term: Term): ClusterState {
   return {
     facts,
@@ -145,6 +154,8 @@
     raisedAt: term.began,
     lastArrival: term.began,
     open: new Set(),
+    closed: new Map(),
+    machinesScanned: 0,
     pages: new Map(),
     version: 0,
     dirty: new Map(),
@@ -178,8 +189,10 @@
 /** Why a gang waits. */
 export const NO_ROOM_FOR_ALL = 'no room for all tasks at once';
 
+/** Names one attempt of a task. */
 export const runKey = (job: string, task: number, attempt: number): string => `${job}/${task}#${attempt}`;
 
+/** The inner map under a key, made when it is missing. */
 export function innerMap<K, V>(outer: Map<string, Map<K, V>>, key: string): Map<K, V> {
   let m = outer.get(key);
   if (m === undefined) {
@@ -189,6 +202,7 @@
   return m;
 }
 
+/** Has a line written to the log. */
 export function emitLog(
   state: ClusterState,
   text: string,
@@ -216,5 +230,7 @@
  */
 export const isBehind = (state: ClusterState): boolean => state.lateness > BEHIND;
 
+/** Clocks differ by 0.05%: twice that, as a share of a span. */
 export const DRIFT_SHARE = 1000n; // clocks differ by 0.05%; twice that, as a share of the span
+/** A span as long as it can be by another clock. */
 export const withDrift = (s: Span): Span => s + s / DRIFT_SHARE;
--- a/src/core/gangs.ts
+++ b/src/core/gangs.ts
@@ -6,6 +6,7 @@
 import { toSeconds, type Steady } from './time.js';
 import type { ClusterState } from './cluster-state.js';
 
+/** Ranks machines that are equally good for a job; the smallest value wins. */
 export type Steer = (state: ClusterState, job: Job, candidate: Candidate) => number;
 
 /** The next attempt number for a whole gang: above all that any of its chunks has given out. */
--- a/src/core/intents.ts
+++ b/src/core/intents.ts
@@ -4,6 +4,7 @@
 import { type Intent, type Job, type Machine, taskKey } from './model.js';
 import { type Steady, toSeconds } from './time.js';
 
+/** Records a possible place of a task; nothing is sent before it is committed. */
 export function place(
   state: ClusterState,
   job: Job,
@@ -84,6 +85,7 @@
   if (job.doneCount === job.spec.tasks) wantDone(state, job, now);
 }
 
+/** Has the job committed as done once all its results are. */
 export function wantDone(state: ClusterState, job: Job, now: Steady): void {
   if (job.standing !== 'open' || job.doneWanted || job.spec.kind === 'service') return;
   job.doneWanted = true;
@@ -113,6 +115,7 @@
 export const neverSent = (state: ClusterState, intent: Intent): boolean =>
   intent.sentAt === null && !mayArrive(state, intent);
 
+/** Has a task stopped, or its place ended at once if its start never left. */
 export function stopIntent(
   state: ClusterState,
   intent: Intent,
@@ -139,11 +142,13 @@
   });
 }
 
+/** Stops all tasks of a job. */
 export function stopJob(state: ClusterState, job: Job, why: string, now: Steady, grace = 0): void {
   for (const chunk of job.chunks.values())
     for (const intent of [...chunk.intents.values()]) stopIntent(state, intent, grace, why, now);
 }
 
+/** All possible places of a job’s tasks. */
 export function intentsOf(job: Job): Intent[] {
   const out: Intent[] = [];
   for (const chunk of job.chunks.values()) out.push(...chunk.intents.values());
--- a/src/core/leases.ts
+++ b/src/core/leases.ts
@@ -12,6 +12,7 @@
   return answered + withDrift(state.facts.lease) + seconds(0.5);
 }
 
+/** Ends the places on machines whose lease is surely over. */
 export function reapSilent(state: ClusterState, now: Now): void {
   for (const machine of state.machines.values()) {
     if (machine.intents.size === 0 || now.steady < leaseEnd(state, machine)) continue;
--- a/src/core/loading.ts
+++ b/src/core/loading.ts
@@ -37,7 +37,7 @@
       for (let t = 0; t < record.spec.tasks; t++) job.free.add(t);
       state.waiting.add(id);
       state.needPass = true;
-    }
+    } else state.closed.set(id, now.steady);
     return;
   }
   if (stamp <= known.stamp) return;
@@ -47,6 +47,7 @@
   known.free.clear();
   state.waiting.delete(id);
   state.open.delete(id);
+  state.closed.set(id, now.steady);
   state.rankStale = true;
   closeChunks(known);
   if (record.standing === 'cancelled') {
--- a/src/core/machine-list.ts
+++ b/src/core/machine-list.ts
@@ -6,6 +6,7 @@
 import type { Listed, Machine } from './model.js';
 import { type Now, type Steady, seconds } from './time.js';
 
+/** Takes in a whole list of the cloud's. */
 export function onList(state: ClusterState, list: readonly Listed[], sent: Steady, now: Now): void {
   const names = new Set<string>();
   state.listSeen = true;
--- a/src/core/machine-registry.ts
+++ b/src/core/machine-registry.ts
@@ -3,6 +3,7 @@
 import type { Machine } from './model.js';
 import type { Steady } from './time.js';
 
+/** The machine of that name, made known when it is not. */
 export function machineOf(state: ClusterState, name: string, now: Steady): Machine {
   let machine = state.machines.get(name);
   if (machine === undefined) {
--- a/src/core/model.ts
+++ b/src/core/model.ts
@@ -2,10 +2,13 @@
 import type { Free } from './placement.js';
 import type { Span, Steady } from './time.js';
 
+/** How the tasks of a job belong together. */
 export type Kind = 'array' | 'gang' | 'service';
+/** Priorities, lowest first. */
 export type Priority = 'low' | 'normal' | 'high' | 'production';
 
 const RANKS: Record<Priority, number> = { low: 0, normal: 1, high: 2, production: 3 };
+/** The order of priorities as a number. */
 export const rank = (p: Priority): number => RANKS[p];
 
 /** A job as its user described it, in the names used inside. */
@@ -35,6 +38,7 @@
 /** What the state service holds for a job: its description, when it came, and how it stands. */
 export type Standing = 'open' | 'cancelled' | 'done';
 
+/** A job as the state service holds it. */
 export interface JobRecord {
   readonly spec: Spec;
   readonly submitted: Date;
@@ -62,6 +66,7 @@
   runningSince: Steady | null;
 }
 
+/** How far a placed task has come, as reported. */
 export type Phase = 'placed' | 'fetching' | 'waiting' | 'running' | 'saving';
 
 /** One key of the state service: the recorded state of many jobs' chunks. */
@@ -94,6 +99,7 @@
   record: ChunkRecord | null;
 }
 
+/** A job in the owner's memory. */
 export interface Job {
   readonly spec: Spec;
   readonly submitted: Date;
@@ -121,6 +127,7 @@
   inside: boolean;
 }
 
+/** A type of machine that the cloud rents. */
 export interface MachineType {
   readonly name: string;
   readonly cpus: number;
@@ -134,6 +141,7 @@
   readonly zones: readonly string[];
 }
 
+/** A task as a worker reports it. */
 export interface SeenTask {
   readonly job: string;
   readonly task: number;
@@ -157,6 +165,7 @@
   readonly tasks: readonly SeenTask[];
 }
 
+/** A machine as the cloud lists it. */
 export interface Listed {
   readonly name: string;
   readonly endpoint: string;
@@ -167,6 +176,7 @@
   readonly age: Span;
 }
 
+/** A machine in the owner's memory. */
 export interface Machine {
   readonly name: string;
   endpoint: string;
@@ -215,6 +225,7 @@
   strays: boolean;
 }
 
+/** A team with its guarantee and its limit; 0: none. */
 export interface Team {
   readonly name: string;
   readonly cpus: number;
@@ -223,6 +234,7 @@
   readonly gpusMax: number;
 }
 
+/** An aim of the operators for a class of jobs. */
 export interface Objective {
   readonly kind: string;
   readonly class: string;
@@ -263,4 +275,5 @@
   readonly faultJobs: number;
 }
 
+/** Names a task. */
 export const taskKey = (job: string, task: number): string => `${job}/${task}`;
--- a/src/core/orders.ts
+++ b/src/core/orders.ts
@@ -145,6 +145,7 @@
     if (!exited.has(runKey(forget.job, forget.task, forget.attempt))) map.delete(k);
 }
 
+/** Whether the task may be started now: its place is committed, its job open, our word from the state service recent. */
 export function isStartable(state: ClusterState, machine: Machine, intent: Intent, now: Steady): boolean {
   const job = state.jobs.get(intent.job);
   if (job === undefined || job.standing !== 'open' || intent.stopping !== null) return false;
--- a/src/core/outbox.ts
+++ b/src/core/outbox.ts
@@ -17,6 +17,7 @@
   readonly chunks: readonly Chunk[];
 }
 
+/** Changes that are committed together or not at all. */
 export interface Transaction {
   readonly token: number;
   /** Jobs whose stamps are guarded. */
@@ -111,7 +112,8 @@
   return { token: state.token, jobs, pages, done };
 }
 
-export function settled(state: ClusterState, transaction: Transaction, stamp: number): void {
+/** Takes in that a transaction was carried out. */
+export function settled(state: ClusterState, transaction: Transaction, stamp: number, now: Steady): void {
   for (const p of transaction.pages) {
     const page = state.pages.get(p.id);
     if (page === undefined) continue;
@@ -133,6 +135,7 @@
     job.free.clear();
     state.waiting.delete(id);
     state.open.delete(id);
+    state.closed.set(id, now);
     state.rankStale = true;
     closeChunks(job);
   }
--- a/src/core/owner.ts
+++ b/src/core/owner.ts
@@ -1,4 +1,5 @@
 import { forecastDemand } from './demand-forecast.js';
+import { releaseClosedJobs } from './closed-jobs.js';
 import { closeSome, returns } from './fleet-size.js';
 import { logRent, onRefused, rentals } from './rentals.js';
 import { intentsOf } from './intents.js';
@@ -35,6 +36,7 @@
   type RentOrder,
   type Term,
   type ClusterState,
+  isBehind,
 } from './cluster-state.js';
 
 /** What can happen to an owner. Each event is handled alone and yields what is to be done outside. */
@@ -72,6 +74,9 @@
   | { readonly kind: 'tick' };
 
 const SWEEP = seconds(0.4);
+/** Renting and returning come last while the process is behind, but they come. */
+const FLEET_EVERY = seconds(2);
+const FLEET_BEHIND = seconds(6);
 
 /** The owner of a part: the whole of its knowledge, and the one place where events become effects. */
 export class Owner {
@@ -113,7 +118,7 @@
         if (event.outcome === 'refused' && event.report !== null) this.refence(event.machine);
         break;
       case 'settled': {
-        settled(state, event.transaction, event.stamp);
+        settled(state, event.transaction, event.stamp, now.steady);
         dispatch(state, this.affected(event.transaction), now);
         break;
       }
@@ -195,7 +200,10 @@
       state.raisedAt = now.steady;
       state.effects.push({ kind: 'raise', why });
     }
-    if (now.steady - this.fleetAt > seconds(2) && mayStart(state.contact, now.steady)) {
+    if (
+      now.steady - this.fleetAt > (isBehind(state) ? FLEET_BEHIND : FLEET_EVERY) &&
+      mayStart(state.contact, now.steady)
+    ) {
       this.fleetAt = now.steady;
       this.runFleet(now);
     }
@@ -219,6 +227,7 @@
       // Pauses end, machines fall silent, waiting work becomes urgent: none of that is an event.
       this.lookedAt = now.steady;
       state.needPass = state.needPass || state.waiting.size > 0;
+      releaseClosedJobs(state, now.steady);
     }
   }
 
--- a/src/core/ownership-timing.ts
+++ b/src/core/ownership-timing.ts
@@ -18,6 +18,7 @@
   return began + withDrift(answeringSpan(facts)) + seconds(0.5);
 }
 
+/** Whether an owner with such a last contact may still answer reports. */
 export function mayAnswer(facts: Facts, contact: Steady, now: Steady): boolean {
   return now - contact <= answeringSpan(facts);
 }
--- a/src/core/placement-pass.ts
+++ b/src/core/placement-pass.ts
@@ -21,8 +21,10 @@
 import { type Now, type Span, seconds, toSeconds, wallSeconds } from './time.js';
 import { isHurried, isPatient, wantedBy } from './urgency.js';
 
+/** Why a job waits: no machine has room for a task. */
 export const NO_ROOM = 'no room';
 
+/** Why a job waits: lower work is being stopped for it. */
 export const ROOM_IS_MADE = 'room beside the cached image is being made';
 
 /** Below production, above all else. */
@@ -45,9 +47,11 @@
   return rows.map((r) => r.job);
 }
 
+/** The machines that may take tasks now, with what is free on them. */
 export function listCandidates(state: ClusterState, now: Now): Candidate[] {
   const out: Candidate[] = [];
   for (const machine of state.machines.values()) {
+    state.machinesScanned += 1;
     const type = state.types.get(machine.type);
     if (type === undefined || !isUsable(state, machine, now.steady)) continue;
     const view = viewOf(state, machine);
@@ -106,6 +110,10 @@
   rankJobs(state);
   state.promised.clear();
   state.holding = null;
+  if (state.waiting.size === 0) {
+    state.emptying = null;
+    return [];
+  }
   chooseStarved(state, now);
   const board = newBoard(state, listCandidates(state, now));
   const blocked: Job[] = [];
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -11,6 +11,7 @@
   memory: number;
 }
 
+/** A machine that may take tasks, as one pass sees it. */
 export interface Candidate {
   readonly machine: Machine;
   readonly type: MachineType;
@@ -26,6 +27,7 @@
 
 const EPSILON = 1e-6;
 
+/** Whether a request fits into what is free. */
 export function fitsIn(spec: Spec, r: Free): boolean {
   return spec.cpus <= r.cpus + EPSILON && spec.gpus <= r.gpus + EPSILON && spec.memory <= r.memory + EPSILON;
 }
@@ -77,6 +79,7 @@
   steer: number;
 }
 
+/** Scores a machine for a request. */
 export function score(
   spec: Spec,
   cand: Candidate,
--- a/src/core/preemption.ts
+++ b/src/core/preemption.ts
@@ -25,6 +25,7 @@
   readonly full: Shape[];
 }
 
+/** What a pass knows before it places anything. */
 export function newBoard(state: ClusterState, open: Candidate[]): Board {
   const lowest = new Map<Machine, number>();
   let floor = Infinity;
@@ -57,6 +58,7 @@
   return (level(job) * 10_000 + work + waited + job.stops * SETTLED_S + 1) * each * size;
 }
 
+/** Seconds that a stopped task of the job needs to save; 0: it does not save. */
 export function graceFor(job: Job): number {
   return job.spec.checkpoint > 0n ? toSeconds(job.spec.save) + 1 : 0;
 }
@@ -71,6 +73,7 @@
   readonly cost: number;
 }
 
+/** Adds (or takes) what a task of the job holds. */
 export function add(r: Free, job: Job, sign: 1 | -1): void {
   r.cpus += sign * job.spec.cpus;
   r.gpus += sign * job.spec.gpus;
@@ -187,6 +190,7 @@
   return { ...offer, cost: offer.cost + imageDelay(job.spec, candidate, state.settings) * FETCH_WEIGHT };
 }
 
+/** Books an offer in the candidate's room, or takes that back. */
 export function book(state: ClusterState, job: Job, offer: Offer, sign: 1 | -1): void {
   add(offer.at.room, job, sign === 1 ? -1 : 1);
   for (const intent of offer.victims) {
--- a/src/core/quota.ts
+++ b/src/core/quota.ts
@@ -6,6 +6,7 @@
   gpus: number;
 }
 
+/** What each team's tasks hold, against the team's limit. */
 export class Quota {
   private readonly usage = new Map<string, Usage>();
   private readonly teams: ReadonlyMap<string, Team>;
--- a/src/core/record-pages.ts
+++ b/src/core/record-pages.ts
@@ -53,6 +53,7 @@
 /** Services stay for hours and hardly change: beside arrays they would be written again and again. */
 const poolOf = (job: Job): Page['pool'] => (job.spec.kind === 'service' ? 'lasting' : 'passing');
 
+/** The page that holds a chunk, chosen when the chunk is first recorded. */
 export function pageFor(state: ClusterState, job: Job, chunk: Chunk): Page {
   if (chunk.page !== null) return chunk.page;
   const need = entryBound(state, job, chunk);
@@ -100,6 +101,7 @@
   chunk.page = null;
 }
 
+/** What a page is to hold. */
 export function entriesOf(page: Page, record: (chunk: Chunk) => ChunkRecord): PageEntry[] {
   return [...page.chunks].map((chunk) => ({ job: chunk.job, index: chunk.index, record: record(chunk) }));
 }
--- a/src/core/rentals.ts
+++ b/src/core/rentals.ts
@@ -259,10 +259,12 @@
   return { ...slot, r: whole(best.type), fresh: true };
 }
 
+/** Remembers that the cloud had no such machine. */
 export function onRefused(state: ClusterState, order: RentOrder, now: Now): void {
   state.refused.set(slotKey(order), now.steady);
 }
 
+/** Tells of a rental in the log. */
 export function logRent(state: ClusterState, order: RentOrder): void {
   emitLog(
     state,
--- a/src/core/steering.ts
+++ b/src/core/steering.ts
@@ -37,6 +37,7 @@
   return job.spec.gpus * 2 > type.gpus || job.spec.cpus * 2 > type.cpus || job.spec.memory * 2 > type.memory;
 }
 
+/** Whether some open job needs most of a machine for a task. */
 export function someNeedWhole(state: ClusterState): boolean {
   for (const id of state.open) {
     const job = state.jobs.get(id);
--- a/src/core/time.ts
+++ b/src/core/time.ts
@@ -3,8 +3,10 @@
  * Nothing in the core reads a clock: every event comes with its `now`.
  */
 export type Steady = bigint;
+/** A span of steady time, in nanoseconds. */
 export type Span = bigint;
 
+/** The moment of an event by both clocks. */
 export interface Now {
   readonly steady: Steady;
   readonly wall: Date;
@@ -12,8 +14,11 @@
 
 const NANOS_PER_SECOND = 1_000_000_000;
 
+/** Seconds as a span. */
 export const seconds = (n: number): Span => BigInt(Math.round(n * NANOS_PER_SECOND));
+/** A span in seconds. */
 export const toSeconds = (s: Span): number => Number(s) / NANOS_PER_SECOND;
+/** The later of two moments. */
 export const laterOf = (a: Steady, b: Steady): Steady => (a > b ? a : b);
 
 /** Seconds of wall time between two dates. */
--- a/src/edge/api.ts
+++ b/src/edge/api.ts
@@ -23,6 +23,7 @@
 import { Intake, readReports, type ReportAnswer } from './reports.js';
 import type { SocketShares } from './sockets.js';
 
+/** What the HTTP interface needs. */
 export interface ApiDependencies {
   readonly addr: string;
   readonly requests: RequestHandler;
@@ -76,6 +77,7 @@
 /** Users' connections that came when there were too many. */
 const crowded = new WeakSet<Socket>();
 
+/** The express application for users, and for reports in an unusual form. */
 export function makeApp(
   dependencies: ApiDependencies,
   answer: (raw: Buffer) => ReportAnswer,
--- a/src/edge/counts.ts
+++ b/src/edge/counts.ts
@@ -1,6 +1,7 @@
 import { countsIn, parseKey } from '../wire/records.js';
 import type { Store } from './store.js';
 
+/** How many tasks of a job are done and placed. */
 export interface Count {
   done: number;
   placed: number;
--- a/src/edge/images.ts
+++ b/src/edge/images.ts
@@ -1,10 +1,12 @@
 import type { Subscription } from 'rxjs';
-import { jobKey, parseKey, readJob, readPage } from '../wire/records.js';
+import { EndedJob, jobKey, parseKey, readJob } from '../wire/records.js';
 import { millisSince, steady } from './clock.js';
 import { messageOf } from './supervised-task.js';
 import { warnSparsely, type Log } from './log.js';
-import type { Store } from './store.js';
+import type { DecodedPages } from './decoded-pages.js';
+import type { Entry, Store } from './store.js';
 
+/** An image that a machine is likely to have cached. */
 export interface ImageSeen {
   readonly machine: string;
   readonly image: string;
@@ -27,13 +29,16 @@
   constructor(
     private readonly store: Store,
     private readonly log: Log,
+    private readonly pages: DecodedPages,
+    /** A leader hears of images from the workers themselves. */
+    private readonly leading: () => boolean,
   ) {}
 
   start(): Subscription {
     return this.store.changes.subscribe((change) => {
-      if (change.entry === null || parseKey(change.key).kind !== 'page') return;
+      if (change.entry === null || this.leading() || parseKey(change.key).kind !== 'page') return;
       try {
-        this.take(change.entry.value);
+        this.take(change.entry);
       } catch (e) {
         warnSparsely(this.log, { key: change.key, error: messageOf(e) }, 'a page cannot be read');
       }
@@ -50,12 +55,12 @@
     return out;
   }
 
-  private take(page: unknown): void {
+  private take(page: Entry): void {
     const now = steady();
-    for (const entry of readPage(page)) {
+    for (const entry of this.pages.of(page)) {
       if (entry.record.intents.length === 0) continue;
       const job = this.store.copy.get(jobKey(entry.job));
-      if (job === undefined) continue;
+      if (job === undefined || job.value instanceof EndedJob) continue;
       const { image, imageGb } = readJob(job.value).spec;
       for (const i of entry.record.intents) {
         let images = this.byMachine.get(i.machine);
--- a/src/edge/log.ts
+++ b/src/edge/log.ts
@@ -3,6 +3,7 @@
 
 const LEVELS = new Set(['error', 'warn', 'info', 'debug']);
 
+/** The structured log. */
 export type Log = pino.Logger;
 
 /** Writes JSON lines to standard error, at once: a process that is killed leaves what it said. */
--- a/src/edge/memory.ts
+++ b/src/edge/memory.ts
@@ -46,6 +46,7 @@
   return held >= SHED ? 'shed' : 'rest';
 }
 
+/** Keeps the process below its memory limit. */
 export class Memory {
   private afterLast = 0;
   private shedding = false;
--- a/src/edge/operator-settings.ts
+++ b/src/edge/operator-settings.ts
@@ -13,6 +13,7 @@
 }
 type Mutable<T> = { -readonly [K in keyof T]: T[K] };
 
+/** The operators' settings where the file names none. */
 export const DEFAULT_SETTINGS: OperatorSettings = {
   alpha: 0.25,
   lambda: 0.5,
@@ -25,6 +26,7 @@
   faultJobs: 2,
 };
 
+/** All settings by group, with their ranges. */
 export const SETTING_RANGES: Record<string, Record<string, Range>> = {
   placement: {
     alpha: { low: 0.25, high: 0.75, set: (k, v) => (k.alpha = v), get: (settings) => settings.alpha },
@@ -58,6 +60,7 @@
   },
 };
 
+/** Reads operators' settings from text; a mistake is a SettingsError with its line. */
 export function parseOperatorSettings(text: string, name: string): OperatorSettings {
   const knobs: Mutable<OperatorSettings> = { ...DEFAULT_SETTINGS };
   let forms: Node[];
@@ -95,6 +98,7 @@
   return knobs;
 }
 
+/** Reads operators' settings from a file; the defaults without one. */
 export function readOperatorSettings(path: string | undefined): OperatorSettings {
   if (path === undefined) return DEFAULT_SETTINGS;
   let text: string;
--- a/src/edge/ownership.ts
+++ b/src/edge/ownership.ts
@@ -5,7 +5,8 @@
 import { steady } from './clock.js';
 import type { Cloud } from './cloud.js';
 import { WakeSignal } from './wake-signal.js';
-import { supervise, messageOf } from './supervised-task.js';
+import { isAborted, supervise, messageOf } from './supervised-task.js';
+import type { DecodedPages } from './decoded-pages.js';
 import type { ImagesSeen } from './images.js';
 import { jittered } from './jitter.js';
 import type { Log } from './log.js';
@@ -30,6 +31,7 @@
     private readonly log: Log,
     private readonly writeRps: number,
     private readonly images: ImagesSeen,
+    private readonly pages: DecodedPages,
     private readonly directs: number,
   ) {
     this.record = { label, incarnation };
@@ -87,7 +89,7 @@
       [{ write: key, value: this.record, permit: lease }],
     );
     // Stopped meanwhile: nobody would end a term that begins now. The lease runs out by itself.
-    if (signal.aborted) return;
+    if (isAborted(signal)) return;
     if (result.kind !== 'ok') {
       // Whatever became of it, the key must not stay with a lease that nobody renews.
       await this.store.revokeLease(lease);
@@ -97,7 +99,7 @@
       await this.store.revokeLease(lease);
       return;
     }
-    if (signal.aborted) return;
+    if (isAborted(signal)) return;
     this.begin(result.rev, sent, lease, ttlMs);
   }
 
@@ -113,6 +115,7 @@
         log: this.log,
         writeRps: this.writeRps,
         images: this.images,
+        pages: this.pages,
         directs: this.directs,
         onAbdicate: () => {
           this.restsUntil = steady() + REST;
--- a/src/edge/peers.ts
+++ b/src/edge/peers.ts
@@ -7,6 +7,7 @@
 import { jittered } from './jitter.js';
 import { warnSparsely, type Log } from './log.js';
 
+/** Another controller. */
 export interface Peer {
   readonly label: string;
   readonly endpoint: string;
--- a/src/edge/reports.ts
+++ b/src/edge/reports.ts
@@ -27,6 +27,7 @@
   503: 'Service Unavailable',
 } as const;
 
+/** An answer to a report as it goes over the wire. */
 export function answerBytes(a: ReportAnswer, close: boolean): Buffer {
   const head =
     `HTTP/1.1 ${a.status} ${REASONS[a.status]}\r\nContent-Type: application/cbor\r\n` +
@@ -35,6 +36,7 @@
   return Buffer.concat([Buffer.from(head, 'latin1'), a.body]);
 }
 
+/** What has come of a request so far. */
 export type Head =
   | { readonly kind: 'report'; readonly from: number; readonly to: number; readonly close: boolean }
   /** Not all here yet. */
--- a/src/edge/request-handler.ts
+++ b/src/edge/request-handler.ts
@@ -1,13 +1,14 @@
 import type { JobRecord, MachineType, Spec, Team } from '../core/model.js';
 import { everWithinLimit } from '../core/quota.js';
 import type { UserStanding } from '../wire/dialect.js';
-import { ROOT, jobKey, parseKey, readJob, writeJob } from '../wire/records.js';
+import { EndedJob, ROOT, jobKey, parseKey, readJob, summaryOf, writeJob } from '../wire/records.js';
 import { millisSince, steady } from './clock.js';
 import { jittered } from './jitter.js';
 import type { Log } from './log.js';
 import { Counts } from './counts.js';
 import type { Store } from './store.js';
 
+/** A job as its user sees it. */
 export interface View {
   readonly id: string;
   readonly standing: UserStanding;
@@ -31,7 +32,7 @@
 /** What users ask, answered from the followed copy and by guarded writes. Every controller does this. */
 export class RequestHandler {
   private inside = 0;
-  private readonly counts: Counts;
+  readonly counts: Counts;
   types: readonly MachineType[] = [];
 
   constructor(
@@ -51,9 +52,8 @@
   view(id: string): View | null {
     const entry = this.store.copy.get(jobKey(id));
     if (entry === undefined) return null;
-    const job = readJob(entry.value);
-    const { done, placed } =
-      job.standing === 'done' ? { done: job.spec.tasks, placed: 0 } : this.counts.of(id);
+    const job = summaryOf(entry.value);
+    const { done, placed } = job.standing === 'done' ? { done: job.tasks, placed: 0 } : this.counts.of(id);
     const standing = job.standing === 'open' ? (placed + done > 0 ? 'running' : 'pending') : job.standing;
     return { id, standing, done, running: placed };
   }
@@ -128,6 +128,8 @@
       }
       const entry = this.store.copy.get(jobKey(id));
       if (entry === undefined) continue;
+      // It ended a moment ago: the next round finds that.
+      if (entry.value instanceof EndedJob) continue;
       const record: JobRecord = { ...readJob(entry.value), standing: 'cancelled' };
       const result = await this.store.commit(
         [{ key: jobKey(id), stamp: entry.stamp }],
--- a/src/edge/service.ts
+++ b/src/edge/service.ts
@@ -5,6 +5,8 @@
 import { Cloud } from './cloud.js';
 import { RequestHandler } from './request-handler.js';
 import { supervise, messageOf, pause } from './supervised-task.js';
+import { DecodedPages } from './decoded-pages.js';
+import { EndedJobs } from './ended-jobs.js';
 import { ImagesSeen } from './images.js';
 import { isHealthy } from './health.js';
 import { jittered } from './jitter.js';
@@ -30,10 +32,11 @@
   const cloud = new Cloud(p.external.cloud, p.facts.cloud.rps, log);
   const memory = new Memory(p.facts.limits?.memory_mb ?? null, log);
   const sockets = shareSockets(p.facts.limits?.max_sockets ?? null);
-  const desk = new RequestHandler(store, facts.teams, log, () => memory.tight);
+  const requests = new RequestHandler(store, facts.teams, log, () => memory.tight);
   const incarnation = `${p.label}-${new Date().getTime()}-${steady()}`;
-  const images = new ImagesSeen(store, log);
-  const owner = new Ownership(
+  const pages = new DecodedPages();
+  const images = new ImagesSeen(store, log, pages, (): boolean => owner.term !== null);
+  const owner: Ownership = new Ownership(
     PART,
     p.label,
     incarnation,
@@ -44,6 +47,7 @@
     log,
     p.facts.state.write_rps,
     images,
+    pages,
     sockets.direct,
   );
 
@@ -60,7 +64,7 @@
   );
   const healthy = (): boolean =>
     isHealthy({
-      ready: desk.ready,
+      ready: requests.ready,
       copyMs: millisSince(store.freshAt),
       leading: owner.term !== null,
       behind: owner.term?.behind === true,
@@ -70,6 +74,7 @@
 
   const all = new Subscription();
   all.add(memory.start());
+  all.add(new EndedJobs(store, requests.counts).start());
   all.add(images.start());
   all.add(store.start());
   all.add(peers.start());
@@ -78,7 +83,7 @@
     supervise('types for users', log, async (signal) => {
       while (!signal.aborted) {
         const types = await cloud.types(signal);
-        if (types !== null) desk.types = types;
+        if (types !== null) requests.types = types;
         await pause(types === null ? jittered(1000) : 300_000, signal);
       }
     }),
@@ -95,7 +100,7 @@
   all.add(
     serve({
       addr: p.api_addr,
-      requests: desk,
+      requests,
       log,
       healthy,
       sockets,
--- a/src/edge/settings.ts
+++ b/src/edge/settings.ts
@@ -58,8 +58,10 @@
   }),
 });
 
+/** The settings file of the platform, checked. */
 export type Platform = z.infer<typeof platform>;
 
+/** Reads and checks the settings file of the platform. */
 export function readPlatform(path: string): Platform {
   let text: string;
   try {
@@ -85,6 +87,7 @@
   return r.data;
 }
 
+/** The platform's settings as the core uses them. */
 export function factsOf(p: Platform): Facts {
   const f = p.facts;
   return {
--- a/src/edge/sexpr-plus.d.ts
+++ b/src/edge/sexpr-plus.d.ts
@@ -7,11 +7,13 @@
   interface Located {
     readonly location: { readonly start: Place; readonly end: Place };
   }
+  /** A form as it was read, with its place in the text. */
   export type Node = Located &
     (
       | { readonly type: 'list'; readonly content: Node[] }
       | { readonly type: 'atom'; readonly content: string }
       | { readonly type: 'string'; readonly content: string }
     );
+  /** Reads all forms of a text; throws at the first mistake. */
   export function parse(text: string): Node[];
 }
--- a/src/edge/sockets.ts
+++ b/src/edge/sockets.ts
@@ -26,6 +26,7 @@
 /** Fewer cannot carry a controller at all. */
 export const LEAST_SOCKETS = 64;
 
+/** Shares out the sockets that the settings allow. */
 export function shareSockets(max: number | null): SocketShares {
   if (max === null) return { direct: 256, inbound: Infinity, usersBelow: Infinity, turnsAbove: Infinity };
   const direct = Math.max(LEAST_DIRECT, Math.floor(max * DIRECT_SHARE));
--- a/src/edge/store.ts
+++ b/src/edge/store.ts
@@ -1,6 +1,6 @@
 import { Subject, type Subscription } from 'rxjs';
 import { STORE_PATHS } from '../wire/dialect.js';
-import { ROOT, isReadable } from '../wire/records.js';
+import { ROOT, isReadable, type EndedJob } from '../wire/records.js';
 import * as schemas from '../wire/schemas.js';
 import { steady } from './clock.js';
 import { supervise, pause } from './supervised-task.js';
@@ -9,14 +9,17 @@
 import { warnSparsely, type Log } from './log.js';
 import { SharedRead } from './shared.js';
 
+/** A key that must have a stamp for a transaction to be carried out. */
 export interface Guard {
   readonly key: string;
   readonly stamp: number;
 }
 
+/** One change of a transaction. */
 export type Write =
   { readonly write: string; readonly value: unknown; readonly permit?: number } | { readonly delete: string };
 
+/** What became of a transaction. */
 export type Committed =
   | { readonly kind: 'ok'; readonly rev: number }
   | { readonly kind: 'conflict'; readonly failed: readonly string[]; readonly rev: number }
@@ -24,11 +27,13 @@
   | { readonly kind: 'refused'; readonly why: string }
   | { readonly kind: 'unknown'; readonly why: string };
 
+/** A key of the state service as last seen. */
 export interface Entry {
   readonly value: unknown;
   readonly stamp: number;
 }
 
+/** A key that changed in the followed copy. */
 export interface Change {
   readonly key: string;
   /** Null: the key is gone. */
@@ -47,6 +52,8 @@
   readonly copy = new Map<string, Entry>();
   readonly changes = new Subject<Change>();
   rev = -1;
+  /** The copy is being read anew: its keys are not of one revision. */
+  loading = true;
   /** Least pause between two follows: each costs a request. The owner of a part follows more closely. */
   followGapMs = 250;
   private readonly client: HttpClient;
@@ -193,6 +200,7 @@
   }
 
   private async load(signal: AbortSignal): Promise<void> {
+    this.loading = true;
     let from: string | null = null;
     let first: number | null = null;
     const seen = new Set<string>();
@@ -216,6 +224,7 @@
     }
     for (const key of [...this.copy.keys()]) if (!seen.has(key)) this.remove(key);
     this.advance(first);
+    this.loading = false;
   }
 
   private apply(key: string, value: unknown, stamp: number): void {
@@ -230,6 +239,12 @@
     this.changes.next({ key, entry });
   }
 
+  /** Keeps another, smaller value in memory for a key. */
+  abridge(key: string, value: EndedJob): void {
+    const known = this.copy.get(key);
+    if (known !== undefined) this.copy.set(key, { value, stamp: known.stamp });
+  }
+
   private remove(key: string): void {
     if (this.copy.delete(key)) this.changes.next({ key, entry: null });
   }
--- a/src/edge/supervised-task.ts
+++ b/src/edge/supervised-task.ts
@@ -2,8 +2,12 @@
 import { type Log, warnSparsely } from './log.js';
 import { Observable, Subscription, retry, timer } from 'rxjs';
 
+/** The message of whatever was thrown. */
 export const messageOf = (e: unknown): string => (e instanceof Error ? e.message : String(e));
 
+/** Whether the signal was given; a function, since the answer changes while one waits. */
+export const isAborted = (signal: AbortSignal): boolean => signal.aborted;
+
 /** Waits, or ends early (and quietly) when the signal is given. Callers look at the signal afterwards. */
 export function pause(ms: number, signal: AbortSignal): Promise<void> {
   return new Promise((resolve) => {
--- a/src/edge/term.ts
+++ b/src/edge/term.ts
@@ -10,8 +10,9 @@
   pageKey,
   parseKey,
   partKey,
+  EndedJob,
   readJob,
-  readPage,
+  summaryOf,
   writeJob,
   writePage,
   type PartRecord,
@@ -20,13 +21,15 @@
 import type { Cloud } from './cloud.js';
 import { RateLimiter } from './rate-limiter.js';
 import { WakeSignal } from './wake-signal.js';
-import { supervise, messageOf, pause } from './supervised-task.js';
+import { isAborted, supervise, pause } from './supervised-task.js';
+import type { DecodedPages } from './decoded-pages.js';
 import type { ImagesSeen } from './images.js';
 import { jittered } from './jitter.js';
 import type { Log } from './log.js';
-import type { Change, Guard, Store, Write } from './store.js';
+import type { Change, Entry, Guard, Store, Write } from './store.js';
 import { Workers } from './workers.js';
 
+/** What a term needs of the process. */
 export interface TermDependencies {
   readonly part: string;
   readonly record: PartRecord;
@@ -37,6 +40,7 @@
   readonly log: Log;
   readonly writeRps: number;
   readonly images: ImagesSeen;
+  readonly pages: DecodedPages;
   /** Connections straight to workers that may be open at once. */
   readonly directs: number;
   readonly onEnd: (why: string) => void;
@@ -156,24 +160,30 @@
     this.dependencies.onEnd(why);
   }
 
+  private isOver(): boolean {
+    return this.over;
+  }
+
   /** The answer to a worker's report, or null if we may no longer answer. */
   report(report: Report): { token: number; orders: Order[] } | null {
     if (this.over || !mayAnswer(this.dependencies.facts, this.owner.state.contact, steady())) return null;
     this.event({ kind: 'report', report: report });
-    if (this.over) return null;
+    if (this.isOver()) return null;
     return { token: this.token, orders: this.owner.answer(report, now()) };
   }
 
   private load(): void {
-    const pages: { id: number; value: unknown; stamp: number }[] = [];
+    const pages: { readonly id: number; readonly entry: Entry }[] = [];
     for (const [key, entry] of this.dependencies.store.copy) {
-      const k = parseKey(key);
-      if (k.kind === 'job')
-        this.event({ kind: 'job', id: k.id, record: readJob(entry.value), stamp: entry.stamp });
-      if (k.kind === 'page' && k.part === this.dependencies.part)
-        pages.push({ id: k.id, value: entry.value, stamp: entry.stamp });
+      const parsed = parseKey(key);
+      // Of a job that has ended and of which nothing is placed there is nothing to do.
+      if (parsed.kind === 'job' && !(entry.value instanceof EndedJob))
+        this.event({ kind: 'job', id: parsed.id, record: readJob(entry.value), stamp: entry.stamp });
+      if (parsed.kind === 'page' && parsed.part === this.dependencies.part)
+        pages.push({ id: parsed.id, entry });
     }
-    for (const p of pages) this.event({ kind: 'page', id: p.id, entries: readPage(p.value), stamp: p.stamp });
+    for (const { id, entry } of pages)
+      this.event({ kind: 'page', id, entries: this.dependencies.pages.of(entry), stamp: entry.stamp });
     this.dependencies.log.info(
       { token: this.token, jobs: this.owner.state.jobs.size, pages: pages.length },
       'term begins',
@@ -255,6 +265,7 @@
   private onChange(change: Change): void {
     const key = parseKey(change.key);
     if (key.kind === 'job' && change.entry !== null) {
+      if (change.entry.value instanceof EndedJob) return;
       const record = readJob(change.entry.value);
       if (record.standing !== 'done') this.usersChanges += 1;
       this.event({ kind: 'job', id: key.id, record, stamp: change.entry.stamp });
@@ -292,7 +303,7 @@
     while (!signal.aborted) {
       const sent = steady();
       const result = await this.dependencies.store.commit([this.guard()], [], 1000);
-      if (signal.aborted) return;
+      if (isAborted(signal)) return;
       if (result.kind === 'ok' && (await this.dependencies.store.reached(result.rev, 1000)))
         this.event({ kind: 'contact', at: sent });
       if (result.kind === 'conflict' && !(await this.stillOwner()))
@@ -321,13 +332,13 @@
   private async commits(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       await this.commitWake.wait(500, signal);
-      if (signal.aborted) return;
+      if (isAborted(signal)) return;
       if (this.raise !== null) await this.raiseToken(signal);
       const transaction = this.owner.nextTransaction(now());
       if (transaction === null) continue;
       const wait = this.budget.take(transaction.pages.length + transaction.done.length);
       if (wait > 0) await pause(wait, signal);
-      if (signal.aborted) return;
+      if (isAborted(signal)) return;
       await this.commit(transaction, signal);
       this.commitWake.wake();
     }
@@ -340,7 +351,7 @@
       [this.guard()],
       [{ write: partKey(this.dependencies.part), value: this.dependencies.record, permit: this.lease }],
     );
-    if (signal.aborted) return;
+    if (isAborted(signal)) return;
     if (result.kind === 'ok') this.event({ kind: 'raised', token: result.rev });
     else if (result.kind === 'conflict' && !(await this.stillOwner())) this.end('the part has changed hands');
   }
@@ -367,7 +378,7 @@
     let doubtful = false;
     for (let n = 0; !signal.aborted; n++) {
       const result = await store.commit(guards, writes);
-      if (signal.aborted) return;
+      if (isAborted(signal)) return;
       if (result.kind === 'ok')
         return this.event({ kind: 'settled', transaction: transaction, stamp: result.rev });
       if (result.kind === 'conflict') return this.onConflict(transaction, result, doubtful, signal);
@@ -387,7 +398,7 @@
     const { failed } = conflict;
     // What the conflict means can only be read from a copy that holds it: an older one still shows the stamps that the
     // transaction was guarded by, and taking those for what it left behind would fail every later write of the page.
-    while (!(await store.reached(conflict.rev, 2000))) if (signal.aborted) return;
+    while (!(await store.reached(conflict.rev, 2000))) if (isAborted(signal)) return;
     if (!(await this.stillOwner())) return this.end('the part has changed hands');
     const moved = transaction.pages.find((page) => failed.includes(pageKey(this.dependencies.part, page.id)));
     // Pages have one writer: a page that moved on was moved by an earlier copy of this very transaction.
@@ -400,7 +411,7 @@
     if (doubtful && transaction.pages.length === 0) {
       const all = transaction.done.every((id) => {
         const entry = store.copy.get(jobKey(id));
-        return entry !== undefined && readJob(entry.value).standing === 'done';
+        return entry !== undefined && summaryOf(entry.value).standing === 'done';
       });
       if (all) return this.event({ kind: 'settled', transaction: transaction, stamp: store.rev });
     }
@@ -412,7 +423,7 @@
     while (!signal.aborted) {
       const sent = steady();
       const machines = await this.dependencies.cloud.list(signal);
-      if (signal.aborted) return;
+      if (isAborted(signal)) return;
       if (machines !== null) this.event({ kind: 'list', machines, sent });
       await pause(machines === null ? jittered(1000) : every, signal);
     }
@@ -429,7 +440,7 @@
   private async pollTypes(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       const types = await this.dependencies.cloud.types(signal);
-      if (signal.aborted) return;
+      if (isAborted(signal)) return;
       if (types !== null) {
         this.event({ kind: 'types', types });
         if (!this.imagesTold) this.tellImages(types);
@@ -438,5 +449,3 @@
     }
   }
 }
-
-export const describe = (e: unknown): string => messageOf(e);
--- a/src/edge/workers.ts
+++ b/src/edge/workers.ts
@@ -4,6 +4,7 @@
 import { WORKER_PATHS, orders, parseReport } from '../wire/dialect.js';
 import { HttpClient } from './http-client.js';
 
+/** Orders for one worker, to be sent straight to it. */
 export interface DirectJob {
   readonly machine: string;
   readonly endpoint: string;
@@ -11,6 +12,7 @@
   readonly orders: readonly Order[];
 }
 
+/** What became of a direct call. */
 export interface DirectResult {
   readonly job: DirectJob;
   readonly token: number;
--- a/src/wire/cbor.ts
+++ b/src/wire/cbor.ts
@@ -24,10 +24,12 @@
   return v;
 }
 
+/** Writes a value as CBOR. */
 export function encode(v: unknown): Buffer {
   return coder.encode(plain(v));
 }
 
+/** Reads a CBOR value. */
 export function decode(b: Buffer): unknown {
   return coder.decode(b);
 }
--- a/src/wire/dialect.ts
+++ b/src/wire/dialect.ts
@@ -6,6 +6,7 @@
 
 /** The one place that knows the interfaces' words (`docket`, `rig`, `baton`, …) for the names used inside. */
 export const API_PATHS = { jobs: '/work', cancel: 'withdraw', health: '/healthz', report: '/hello' } as const;
+/** Paths of the state service. */
 export const STORE_PATHS = {
   keys: '/store',
   commit: '/commit',
@@ -13,7 +14,9 @@
   renew: 'touch',
   follow: '/follow',
 } as const;
+/** Paths of the cloud. */
 export const CLOUD_PATHS = { types: '/flavors', machines: '/machines', remove: '/machines/return' } as const;
+/** Paths of a worker's own interface. */
 export const WORKER_PATHS = { commands: '/commands', status: '/status' } as const;
 
 const KINDS: Record<z.infer<typeof schemas.submission>['shape'], Kind> = {
@@ -28,6 +31,7 @@
   idle: 'low',
 };
 
+/** What came of reading a message. */
 export type Parsed<T> =
   { readonly ok: true; readonly value: T } | { readonly ok: false; readonly why: string };
 
@@ -46,8 +50,10 @@
   return typeof ref === 'string' && schemas.JOB_ID.test(ref) ? ref : null;
 }
 
+/** Whether a text can be the id of a job. */
 export const isJobId = (s: string): boolean => schemas.JOB_ID.test(s);
 
+/** Reads a submission. */
 export function parseSubmission(body: unknown): Parsed<Spec> {
   const r = schemas.submission.safeParse(body);
   if (!r.success) return failure(r.error);
@@ -87,6 +93,7 @@
   exited: 'exited',
 } as const;
 
+/** Reads a worker's report. */
 export function parseReport(body: unknown): Parsed<Report> {
   // Hundreds come a second: the plain form is read directly, and what deviates from it in any way goes to the schema.
   const plain = plainReport(body);
@@ -139,7 +146,7 @@
     session: shift,
     seq: tick,
     token: baton,
-    notice: recall === null ? null : seconds(recall as number),
+    notice: recall === null ? null : seconds(recall),
     tasks,
   };
 }
@@ -171,6 +178,7 @@
 
 const VERBS = { start: 'run', stop: 'halt', forget: 'forget' } as const;
 
+/** Orders in the words of the workers. */
 export function orders(token: number, list: readonly Order[], session?: number): unknown {
   return {
     baton: token,
@@ -184,10 +192,13 @@
   };
 }
 
+/** Where a worker should report instead. */
 export const redirect = (label: string | null): unknown => (label === null ? {} : { foreman: label });
 
+/** A job's state in the words of its user. */
 export type UserStanding = 'pending' | 'running' | 'done' | 'cancelled';
 
+/** A job's state as its user gets it. */
 export function jobAnswer(
   id: string,
   standing: UserStanding,
@@ -196,6 +207,7 @@
   return { ref: id, standing, ...counts };
 }
 
+/** Reads the cloud's machine types. */
 export function parseTypes(body: unknown): Parsed<MachineType[]> {
   const r = schemas.flavors.safeParse(body);
   if (!r.success) return failure(r.error);
@@ -216,6 +228,7 @@
   };
 }
 
+/** Reads a part of the cloud's list. */
 export function parseList(body: unknown): Parsed<{ machines: Listed[]; more: boolean }> {
   const r = schemas.machineList.safeParse(body);
   if (!r.success) return failure(r.error);
@@ -236,6 +249,7 @@
   };
 }
 
+/** A rental request. */
 export const rentBody = (
   name: string,
   o: { type: string; zone: string; spot: boolean; count: number },
@@ -246,10 +260,13 @@
   loaners: o.spot,
   number: o.count,
 });
+/** A request to return machines. */
 export const returnBody = (names: readonly string[]): unknown => ({ rigs: names });
+/** The path of the next part of the cloud's list. */
 export const listQuery = (after: string | null, limit: number): string =>
   `${CLOUD_PATHS.machines}?${after === null ? '' : `from=${encodeURIComponent(after)}&`}page=${limit}`;
 
 /** Spans go into records as seconds, times of day as ISO text. */
 export const spanOut = toSeconds;
+/** Seconds of a record as a span. */
 export const spanIn = seconds;
--- a/src/wire/frames.ts
+++ b/src/wire/frames.ts
@@ -18,8 +18,10 @@
 const FIXED = 14;
 const OWNER = 1;
 const NEVER = 0xffffffff;
+/** The most that a frame may take, head included. */
 export const FRAME_LIMIT = 512;
 
+/** Writes a status as a frame. */
 export function statusFrame(status: Status): Buffer {
   const label = Buffer.from(status.label, 'utf8').subarray(0, 255);
   const b = Buffer.alloc(HEAD + FIXED + label.length);
--- a/src/wire/records.ts
+++ b/src/wire/records.ts
@@ -1,7 +1,7 @@
 import * as z from 'zod';
 import type { ChunkRecord } from '../core/chunks.js';
 import type { PageEntry } from '../core/record-pages.js';
-import type { JobRecord, Spec } from '../core/model.js';
+import type { JobRecord, Kind, Spec, Standing } from '../core/model.js';
 import { seconds, toSeconds } from '../core/time.js';
 
 /**
@@ -9,17 +9,23 @@
  * Records are short: one value must stay below the limit of the state service.
  */
 export const TENANT = 'main';
+/** What all our keys begin with. */
 export const ROOT = `${TENANT}/`;
+/** The key that says who owns a part. */
 export const partKey = (part: string): string => `${TENANT}/part/${part}`;
+/** The key of a job. */
 export const jobKey = (id: string): string => `${TENANT}/job/${id}`;
+/** The key of a page of records. */
 export const pageKey = (part: string, id: number): string => `${TENANT}/page/${part}/${id}`;
 
+/** What a key stands for. */
 export type Key =
   | { readonly kind: 'part'; readonly part: string }
   | { readonly kind: 'job'; readonly id: string }
   | { readonly kind: 'page'; readonly part: string; readonly id: number }
   | { readonly kind: 'other' };
 
+/** Tells what a key stands for. */
 export function parseKey(key: string): Key {
   const [, kind, a, b] = key.split('/');
   if (kind === 'part' && a !== undefined) return { kind: 'part', part: a };
@@ -29,7 +35,9 @@
 }
 
 const partRecord = z.object({ label: z.string(), incarnation: z.string() });
+/** Who owns a part. */
 export type PartRecord = z.infer<typeof partRecord>;
+/** Reads the record of an owner. */
 export const readPart = (v: unknown): PartRecord => partRecord.parse(v);
 
 const jobRecord = z.object({
@@ -59,6 +67,7 @@
   }),
 });
 
+/** Writes a job's record. */
 export function writeJob(record: JobRecord): unknown {
   const spec = record.spec;
   return {
@@ -74,6 +83,24 @@
   };
 }
 
+/** What is kept in memory of a job that is over and of which nothing is placed any more. */
+export class EndedJob {
+  constructor(
+    readonly standing: 'done' | 'cancelled',
+    readonly kind: Kind,
+    readonly tasks: number,
+  ) {}
+}
+
+/** The state of a job by its value in the copy, whether that is its whole record or what is kept of an ended one. */
+export function summaryOf(
+  value: unknown,
+): Pick<EndedJob, 'kind' | 'tasks'> & { readonly standing: Standing } {
+  if (value instanceof EndedJob) return value;
+  const { spec, standing } = readJob(value);
+  return { standing, kind: spec.kind, tasks: spec.tasks };
+}
+
 const parsed = new WeakMap<object, JobRecord>();
 
 /** A job's record. It is read for every question about the job, so each value is taken apart once. */
@@ -161,6 +188,7 @@
 
 const ROW = /^([^/ ]+)\/(\d+) a(\d+) c(\d+),(\d+) ([\d,-]*) (.*)$/;
 
+/** Reads a page of records. */
 export function readPage(v: unknown): PageEntry[] {
   if (typeof v !== 'string') throw new Error('a page is not text');
   const [head = '', ...rows] = v.split('|');
--- a/src/wire/schemas.ts
+++ b/src/wire/schemas.ts
@@ -7,8 +7,10 @@
 const count = z.union([z.number().int().nonnegative(), z.bigint().nonnegative().transform(Number)]);
 const orNull = <T extends z.ZodType>(t: T) => t.nullish().transform((v) => v ?? null);
 
+/** The form of job ids. */
 export const JOB_ID = /^req-[0-9]{1,18}$/;
 
+/** A submission. */
 export const submission = z.object({
   ref: z.string().regex(JOB_ID),
   docket: z.string().min(1).max(200),
@@ -34,6 +36,7 @@
 
 const ticketName = z.string().regex(/^.{1,200}\/[0-9]{1,9}$/);
 
+/** A worker's report. */
 export const hello = z.object({
   rig: z.string().min(1),
   endpoint: z.string().min(1),
@@ -55,6 +58,7 @@
   ),
 });
 
+/** The cloud's machine types. */
 export const flavors = z.object({
   builds: z.array(
     z.object({
@@ -72,6 +76,7 @@
   ),
 });
 
+/** A part of the cloud's list. */
 export const machineList = z.object({
   rigs: z.array(
     z.object({
@@ -87,12 +92,19 @@
   hasNext: z.boolean(),
 });
 
+/** The answer to a rental. */
 export const rented = z.object({ rigs: z.array(z.string()) });
+/** The answer to a transaction that was carried out. */
 export const revision = z.object({ ledgerRev: count });
+/** The answer to a lease request. */
 export const permit = z.object({ permit: count });
+/** The answer to a transaction whose guards failed. */
 export const conflict = z.object({ failed: z.array(z.string()), ledgerRev: count });
+/** A key with its value. */
 export const item = z.object({ key: z.string(), value: z.unknown(), stamp: count });
+/** A part of a range of keys. */
 export const page = z.object({ items: z.array(item), hasNext: z.boolean(), ledgerRev: count });
+/** Changes since a revision. */
 export const news = z.object({
   ledgerRev: count,
   news: z.array(
--- /dev/null
+++ b/test/bounded.test.ts
@@ -0,0 +1,165 @@
+import assert from 'node:assert/strict';
+import { Subject } from 'rxjs';
+import { test } from 'node:test';
+import { Owner } from '../src/core/owner.js';
+import { othersQuietFrom } from '../src/core/ownership-timing.js';
+import { seconds, type Now } from '../src/core/time.js';
+import { Counts } from '../src/edge/counts.js';
+import { DecodedPages } from '../src/edge/decoded-pages.js';
+import { EndedJobs } from '../src/edge/ended-jobs.js';
+import { makeLog } from '../src/edge/log.js';
+import { ImagesSeen } from '../src/edge/images.js';
+import { DEFAULT_SETTINGS } from '../src/edge/operator-settings.js';
+import type { Change, Entry, Store } from '../src/edge/store.js';
+import { EndedJob, jobKey, pageKey, summaryOf, writeJob, writePage } from '../src/wire/records.js';
+import { FACTS, TYPE, spec } from './player.js';
+
+/**
+ * What was won for small machines, guarded by counts: memory that does not grow with the jobs that were ever run, and
+ * nothing that is done anew while nothing changes.
+ */
+const at = (s: number): Now => ({
+  steady: seconds(1000 + s),
+  wall: new Date(Date.UTC(2030, 0, 1) + s * 1000),
+});
+
+function newOwner(): Owner {
+  const began = at(0).steady;
+  const term = { token: 1, began, contact: began, othersQuiet: othersQuietFrom(FACTS, began) };
+  const owner = new Owner(FACTS, DEFAULT_SETTINGS, term);
+  owner.handle({ kind: 'types', types: [TYPE] }, at(0));
+  return owner;
+}
+
+/** A followed copy without a state service. */
+class Copy {
+  readonly copy = new Map<string, Entry>();
+  readonly changes = new Subject<Change>();
+  loading = false;
+  private stamp = 0;
+
+  put(key: string, value: unknown): void {
+    const entry = { value, stamp: ++this.stamp };
+    this.copy.set(key, entry);
+    this.changes.next({ key, entry });
+  }
+
+  abridge(key: string, value: EndedJob): void {
+    const known = this.copy.get(key);
+    if (known !== undefined) this.copy.set(key, { value, stamp: known.stamp });
+  }
+
+  job(id: string, standing: 'open' | 'done' | 'cancelled'): void {
+    this.put(jobKey(id), writeJob({ spec: spec(id, { tasks: 3 }), submitted: at(0).wall, standing }));
+  }
+
+  place(id: string, machines: readonly string[]): void {
+    const intents = machines.map((machine, task) => ({
+      task,
+      attempt: 1,
+      machine,
+      session: 1,
+      zone: 'east',
+    }));
+    this.put(
+      pageKey('all', 0),
+      writePage([{ job: id, index: 0, record: { attempt: 1, done: [], intents } }], ['east']),
+    );
+  }
+
+  get whole(): number {
+    return [...this.copy].filter(([key, e]) => key.includes('/job/') && !(e.value instanceof EndedJob))
+      .length;
+  }
+}
+
+test('of thousands of finished jobs the copy keeps how they ended, not their descriptions', () => {
+  const copy = new Copy();
+  const counts = new Counts(copy as unknown as Store);
+  const ended = new EndedJobs(copy, counts);
+  const routine = ended.start();
+  for (let n = 0; n < 3000; n++) {
+    copy.job(`req-${n}`, 'open');
+    if (n >= 10) copy.job(`req-${n}`, n % 2 === 0 ? 'done' : 'cancelled');
+  }
+  ended.sweep();
+  assert.equal(copy.whole, 10, 'the open ones');
+  assert.deepEqual(summaryOf(copy.copy.get(jobKey('req-2000'))?.value), new EndedJob('done', 'array', 3));
+  assert.equal(summaryOf(copy.copy.get(jobKey('req-2001'))?.value).standing, 'cancelled');
+  routine.unsubscribe();
+});
+
+// Its tasks may still run: a new owner must know what they take of their team's limit and of their machines.
+test('a cancelled job is kept whole while something of it is placed, or the copy is being read anew', () => {
+  const copy = new Copy();
+  const ended = new EndedJobs(copy, new Counts(copy as unknown as Store));
+  const routine = ended.start();
+  copy.loading = true;
+  copy.job('req-1', 'cancelled');
+  ended.sweep();
+  assert.equal(copy.whole, 1, 'its page may not have been read yet');
+  copy.place('req-1', ['m1']);
+  copy.loading = false;
+  ended.sweep();
+  assert.equal(copy.whole, 1);
+  copy.place('req-1', []);
+  ended.sweep();
+  assert.equal(copy.whole, 0);
+  routine.unsubscribe();
+});
+
+test('a standby has each page taken apart once, before it takes over; a leader takes none apart', () => {
+  const copy = new Copy();
+  const pages = new DecodedPages();
+  let leading = false;
+  const images = new ImagesSeen(copy as unknown as Store, makeLog('test'), pages, () => leading);
+  const routine = images.start();
+  copy.job('req-1', 'open');
+  copy.place('req-1', ['m1', 'm2']);
+  assert.equal(pages.decoded, 1);
+  const entry = copy.copy.get(pageKey('all', 0));
+  assert.ok(entry);
+  assert.equal(pages.of(entry)[0]?.record.intents.length, 2);
+  assert.equal(pages.decoded, 1, 'a takeover takes nothing apart that was followed');
+  leading = true;
+  copy.place('req-1', ['m1']);
+  assert.equal(pages.decoded, 1);
+  routine.unsubscribe();
+});
+
+test('the owner lets go of jobs that have been over for a while', () => {
+  const owner = newOwner();
+  for (let n = 0; n < 3000; n++) {
+    const record = { spec: spec(`req-${n}`), submitted: at(n).wall, standing: 'open' as const };
+    owner.handle({ kind: 'job', id: `req-${n}`, record, stamp: 2 * n + 1 }, at(n));
+    owner.handle(
+      { kind: 'job', id: `req-${n}`, record: { ...record, standing: 'cancelled' }, stamp: 2 * n + 2 },
+      at(n),
+    );
+    owner.handle({ kind: 'contact', at: at(n).steady }, at(n));
+    owner.handle({ kind: 'tick' }, at(n));
+  }
+  assert.ok(owner.state.jobs.size <= 125, `${owner.state.jobs.size} jobs are held`);
+  assert.equal(owner.state.jobs.size, owner.state.closed.size);
+});
+
+test('while nothing waits, passes look at no machine and no report brings one about', () => {
+  const owner = newOwner();
+  const hello = (s: number): void => {
+    for (let n = 0; n < 20; n++) {
+      const machine = { machine: `m${n}`, endpoint: `m${n}:1`, type: 'big', zone: 'east', spot: false };
+      const report = { ...machine, session: 1, seq: s + 1, token: 1, notice: null, tasks: [] };
+      owner.handle({ kind: 'report', report }, at(s));
+      owner.answer(report, at(s));
+    }
+    owner.handle({ kind: 'contact', at: at(s).steady }, at(s));
+    owner.handle({ kind: 'tick' }, at(s));
+  };
+  for (let s = 0; s < 5; s++) hello(s);
+  const before = owner.state.machinesScanned;
+  for (let s = 5; s < 25; s++) hello(s);
+  assert.equal(owner.state.machinesScanned, before);
+  const record = { spec: spec('req-1'), submitted: at(25).wall, standing: 'open' as const };
+  owner.handle({ kind: 'job', id: 'req-1', record, stamp: 9 }, at(25));
+  assert.equal(owner.state.machinesScanned, before + 20, 'one pass for the new job');
+});
