--- a/src/core/cluster-state.ts
+++ b/src/core/cluster-state.ts
@@ -1,3 +1,4 @@
+import { DependencyGraph } from './dependency-graph.js';
 import type { Facts, Intent, Job, OperatorSettings, Machine, MachineType, Page } from './model.js';
 import { Quota } from './quota.js';
 import { seconds, type Span, type Steady } from './time.js';
@@ -66,11 +67,17 @@
   lastArrival: Steady;
   /** Jobs that are neither done nor cancelled. */
   readonly open: Set<string>;
+  /** Which jobs wait for which. */
+  readonly dependencies: DependencyGraph;
+  /** Deadlines of unfinished jobs that were not told as missed, in seconds of wall time. */
+  readonly deadlines: Map<string, number>;
   /** Jobs that are over, in the order in which that came to be known, with when. */
   readonly closed: Map<string, Steady>;
   /** Machines that passes have looked at: what is done when nothing is to be done is counted by tests. */
   machinesScanned: number;
   readonly pages: Map<number, Page>;
+  /** Pages that must be written together, since chunks move from one to the others; the first group is next. */
+  readonly tiedPages: (readonly number[])[];
   /** Counts every change of what is recorded. */
   version: number;
   /** Pages with uncommitted changes, oldest first, since when; and those of them that something waits for. */
@@ -155,8 +162,11 @@
     lastArrival: term.began,
     open: new Set(),
     closed: new Map(),
+    dependencies: new DependencyGraph(),
+    deadlines: new Map(),
     machinesScanned: 0,
     pages: new Map(),
+    tiedPages: [],
     version: 0,
     dirty: new Map(),
     urgent: new Set(),
--- a/src/core/demand-forecast.ts
+++ b/src/core/demand-forecast.ts
@@ -47,7 +47,9 @@
   let ends = 0;
   for (const job of state.jobs.values()) {
     if (job.spec.kind === 'service') continue;
-    const age = Math.max(0, wallSeconds(job.submitted, now.wall));
+    // What waits for other jobs asks for nothing yet.
+    if (job.since === null) continue;
+    const age = Math.max(0, wallSeconds(job.since, now.wall));
     earliest = Math.max(earliest, age);
     const type = typeFor(state, job);
     if (type === undefined) continue;
--- /dev/null
+++ b/src/core/dependencies.ts
@@ -0,0 +1,132 @@
+/** @file Jobs that wait for jobs, as the owner sees them: when they become ready, and what they pass on. */
+import { closeChunks } from './chunks.js';
+import { emitLog, type ClusterState } from './cluster-state.js';
+import type { GraphChange } from './dependency-graph.js';
+import { rank, type Job, type Priority } from './model.js';
+import { toSeconds, type Now } from './time.js';
+import { estimateOf } from './urgency.js';
+
+/** Takes in an unfinished job: it may be placed at once, or once the last job that it needs is committed as done. */
+export function addDependent(state: ClusterState, job: Job, now: Now): void {
+  const { id, dependencies } = job.spec;
+  if (job.spec.due !== null)
+    state.deadlines.set(id, job.submitted.getTime() / 1000 + toSeconds(job.spec.due));
+  inherit(state, job);
+  if (dependencies.length === 0) return makeReady(state, job, job.submitted);
+  job.since = null;
+  job.waitReason = 'waits for other jobs';
+  apply(state, state.dependencies.add(id, dependencies), now);
+}
+
+/** Takes in that a job has ended, as committed. */
+export function onJobEnded(state: ClusterState, id: string, standing: 'done' | 'cancelled', now: Now): void {
+  state.deadlines.delete(id);
+  const job = state.jobs.get(id);
+  apply(state, state.dependencies.end(id, standing), now);
+  if (standing === 'cancelled' && job !== undefined) withdrawUrgency(state, job);
+}
+
+function apply(state: ClusterState, change: GraphChange, now: Now): void {
+  for (const id of change.ready) {
+    const job = state.jobs.get(id);
+    if (job !== undefined && job.standing === 'open') makeReady(state, job, now.wall);
+  }
+  for (const id of change.cancelled) cancelThrough(state, id, now);
+}
+
+function makeReady(state: ClusterState, job: Job, since: Date): void {
+  const { id } = job.spec;
+  job.since = since;
+  job.waitReason = 'new';
+  state.open.add(id);
+  state.rankStale = true;
+  if (job.free.size > 0) state.waiting.add(id);
+  state.needPass = true;
+}
+
+/** A job that it needs was cancelled: it never runs. Its own record need not say so, since that job's does. */
+function cancelThrough(state: ClusterState, id: string, now: Now): void {
+  const job = state.jobs.get(id);
+  state.deadlines.delete(id);
+  if (job === undefined || job.standing !== 'open') return;
+  job.standing = 'cancelled';
+  job.free.clear();
+  state.open.delete(id);
+  state.waiting.delete(id);
+  state.closed.set(id, now.steady);
+  state.rankStale = true;
+  closeChunks(job);
+  emitLog(state, 'job cancelled: a job that it needs was', { job: id }, 'info');
+  withdrawUrgency(state, job);
+}
+
+/** What a job passes on to those that it needs. */
+interface Urgency {
+  readonly priority: Priority;
+  /** Seconds of wall time by which it should be done at the latest. */
+  readonly latestEnd: number;
+}
+
+const ownUrgency = (job: Job): Urgency => ({
+  priority: job.spec.priority,
+  latestEnd: job.spec.due === null ? Infinity : job.submitted.getTime() / 1000 + toSeconds(job.spec.due),
+});
+
+/** What a job takes from its dependents: the highest priority, and the end that leaves each of them its time. */
+function urgencyOf(state: ClusterState, job: Job): Urgency {
+  let { priority, latestEnd } = ownUrgency(job);
+  for (const id of state.dependencies.dependentsOf(job.spec.id)) {
+    const dependent = state.jobs.get(id);
+    if (dependent === undefined || dependent.standing !== 'open') continue;
+    if (rank(dependent.priority) > rank(priority)) priority = dependent.priority;
+    latestEnd = Math.min(latestEnd, dependent.latestEnd - estimateOf(state, dependent));
+  }
+  return { priority, latestEnd };
+}
+
+/** A job came: it takes what is known of its dependents, and what it needs takes from it, back along the pipeline. */
+function inherit(state: ClusterState, job: Job): void {
+  const { priority, latestEnd } = urgencyOf(state, job);
+  job.priority = priority;
+  job.latestEnd = latestEnd;
+  const stack = [job];
+  for (let next = stack.pop(); next !== undefined; next = stack.pop())
+    for (const id of next.spec.dependencies) {
+      const needed = state.jobs.get(id);
+      if (needed === undefined || needed.standing !== 'open') continue;
+      const end = next.latestEnd - estimateOf(state, next);
+      if (rank(next.priority) <= rank(needed.priority) && end >= needed.latestEnd) continue;
+      if (rank(next.priority) > rank(needed.priority)) needed.priority = next.priority;
+      needed.latestEnd = Math.min(needed.latestEnd, end);
+      stack.push(needed);
+    }
+}
+
+/** A dependent is gone: what it passed on goes too. */
+function withdrawUrgency(state: ClusterState, job: Job): void {
+  const stack = [job];
+  for (let next = stack.pop(); next !== undefined; next = stack.pop())
+    for (const id of next.spec.dependencies) {
+      const needed = state.jobs.get(id);
+      if (needed === undefined || needed.standing !== 'open') continue;
+      const { priority, latestEnd } = urgencyOf(state, needed);
+      if (priority === needed.priority && latestEnd === needed.latestEnd) continue;
+      needed.priority = priority;
+      needed.latestEnd = latestEnd;
+      stack.push(needed);
+    }
+}
+
+/** Tells once of each unfinished job whose deadline has passed. */
+export function reportMissedDeadlines(state: ClusterState, now: Now): void {
+  for (const [id, by] of state.deadlines) {
+    if (now.wall.getTime() / 1000 <= by) continue;
+    state.deadlines.delete(id);
+    const job = state.jobs.get(id);
+    if (job === undefined) continue;
+    const { standing, waitReason, doneCount } = job;
+    const about = { job: id, class: job.spec.class, tasks: job.spec.tasks, done: doneCount };
+    const waits = standing === 'open' && job.placedCount === 0 ? { because: waitReason } : {};
+    emitLog(state, 'deadline missed', { ...about, ...waits }, 'info');
+  }
+}
--- a/src/core/levels.ts
+++ b/src/core/levels.ts
@@ -7,8 +7,8 @@
  * production first, then work inside its team's guarantee, then borrowed work; by priority within each.
  */
 export function level(job: Job): number {
-  if (job.spec.priority === 'production') return 1000;
-  return (job.inside ? 10 : 0) + rank(job.spec.priority);
+  if (job.priority === 'production') return 1000;
+  return (job.inside ? 10 : 0) + rank(job.priority);
 }
 
 /** A job is inside the guarantee if it fits there together with its team's earlier unfinished jobs. */
@@ -41,5 +41,5 @@
 /** Whether the blocked job may take the victim's place. Equal or higher priority gives way only to a guarantee. */
 export function mayTake(job: Job, victim: Job): boolean {
   if (level(job) <= level(victim)) return false;
-  return rank(victim.spec.priority) < rank(job.spec.priority) || victim.spec.team !== job.spec.team;
+  return rank(victim.priority) < rank(job.priority) || victim.spec.team !== job.spec.team;
 }
--- a/src/core/loading.ts
+++ b/src/core/loading.ts
@@ -1,6 +1,7 @@
 /** @file Jobs and records as they are read from the state service. */
 import { closeChunks, newChunk } from './chunks.js';
 import { type ClusterState, emitLog } from './cluster-state.js';
+import { addDependent, onJobEnded } from './dependencies.js';
 import { stopJob, wantDone } from './intents.js';
 import { machineOf } from './machine-registry.js';
 import { type Intent, type Job, type JobRecord, type Page, taskKey } from './model.js';
@@ -29,15 +30,18 @@
       lostAt: null,
       waitReason: 'new',
       inside: false,
+      since: record.submitted,
+      priority: record.spec.priority,
+      latestEnd: Infinity,
     };
     state.jobs.set(id, job);
     if (record.standing === 'open') {
-      state.open.add(id);
-      state.rankStale = true;
       for (let t = 0; t < record.spec.tasks; t++) job.free.add(t);
-      state.waiting.add(id);
-      state.needPass = true;
-    } else state.closed.set(id, now.steady);
+      addDependent(state, job, now);
+    } else {
+      state.closed.set(id, now.steady);
+      onJobEnded(state, id, record.standing, now);
+    }
     return;
   }
   if (stamp <= known.stamp) return;
@@ -50,6 +54,7 @@
   state.closed.set(id, now.steady);
   state.rankStale = true;
   closeChunks(known);
+  if (record.standing !== 'open') onJobEnded(state, id, record.standing, now);
   if (record.standing === 'cancelled') {
     emitLog(state, 'job cancelled', { job: id }, 'info');
     stopJob(state, known, 'cancelled', now.steady);
--- a/src/core/model.ts
+++ b/src/core/model.ts
@@ -33,6 +33,8 @@
   readonly checkpoint: Span;
   readonly save: Span;
   readonly due: Span | null;
+  /** Jobs that must be done before any task of this one starts. */
+  readonly dependencies: readonly string[];
 }
 
 /** What the state service holds for a job: its description, when it came, and how it stands. */
@@ -123,6 +125,12 @@
   /** When a running replica was last lost: its users are without it from then on. */
   lostAt: Steady | null;
   waitReason: string;
+  /** From when its waiting counts: its submission, or the end of the last job that it needed; null: it waits for one. */
+  since: Date | null;
+  /** Its own priority, or that of a job that needs it if that is higher. */
+  priority: Priority;
+  /** Seconds of wall time by which it should end, for its own deadline and those of the jobs that need it. */
+  latestEnd: number;
   /** Inside its team's guarantee, together with the team's earlier unfinished jobs. */
   inside: boolean;
 }
--- a/src/core/orders.ts
+++ b/src/core/orders.ts
@@ -149,6 +149,7 @@
 export function isStartable(state: ClusterState, machine: Machine, intent: Intent, now: Steady): boolean {
   const job = state.jobs.get(intent.job);
   if (job === undefined || job.standing !== 'open' || intent.stopping !== null) return false;
+  if (state.dependencies.isWaiting(intent.job)) return false;
   if (intent.session !== machine.session || !machine.fenced || intent.phase !== 'placed') return false;
   if (!isCommitted(job, intent) || !mayStart(state.contact, now)) return false;
   // A gang starts as one: no member before all are committed.
--- a/src/core/outbox.ts
+++ b/src/core/outbox.ts
@@ -1,7 +1,8 @@
 import { closeChunks, recordOf } from './chunks.js';
+import { onJobEnded } from './dependencies.js';
 import type { Chunk, Job } from './model.js';
 import { entriesOf, type PageEntry } from './record-pages.js';
-import { seconds, type Steady } from './time.js';
+import { seconds, type Now, type Steady } from './time.js';
 import type { ClusterState } from './cluster-state.js';
 
 /**
@@ -73,8 +74,28 @@
   }
 }
 
+function writesOf(state: ClusterState, ids: readonly number[]): PageWrite[] {
+  const pages: PageWrite[] = [];
+  for (const id of ids) {
+    const page = state.pages.get(id);
+    if (page === undefined) continue;
+    const entries = entriesOf(page, recordOf);
+    pages.push({ id, stamp: page.stamp, version: page.version, entries, chunks: [...page.chunks] });
+  }
+  return pages;
+}
+
+function startingJobs(state: ClusterState, ids: readonly number[]): Map<string, number> {
+  const jobs = new Map<string, number>();
+  for (const id of ids) for (const job of startingIn(state, id)) jobs.set(job.spec.id, job.stamp);
+  return jobs;
+}
+
 /** The next transaction, or null when nothing waits. What it holds stays dirty until `settled`. */
 export function nextTransaction(state: ClusterState, now: Steady): Transaction | null {
+  const tied = state.tiedPages[0];
+  if (tied !== undefined)
+    return { token: state.token, jobs: startingJobs(state, tied), pages: writesOf(state, tied), done: [] };
   const ops = state.facts.txnOps;
   const guards = 4 * ops - 1;
   const ids: number[] = [];
@@ -97,23 +118,11 @@
   }
   finishing(state, ops, taken, jobs, done, ids);
   if (ids.length === 0 && done.length === 0) return null;
-  const pages: PageWrite[] = [];
-  for (const id of ids) {
-    const page = state.pages.get(id);
-    if (page === undefined) continue;
-    pages.push({
-      id,
-      stamp: page.stamp,
-      version: page.version,
-      entries: entriesOf(page, recordOf),
-      chunks: [...page.chunks],
-    });
-  }
-  return { token: state.token, jobs, pages, done };
+  return { token: state.token, jobs, pages: writesOf(state, ids), done };
 }
 
 /** Takes in that a transaction was carried out. */
-export function settled(state: ClusterState, transaction: Transaction, stamp: number, now: Steady): void {
+export function settled(state: ClusterState, transaction: Transaction, stamp: number, now: Now): void {
   for (const p of transaction.pages) {
     const page = state.pages.get(p.id);
     if (page === undefined) continue;
@@ -126,6 +135,8 @@
     for (const chunk of p.chunks) chunk.committed = Math.max(chunk.committed, p.version);
     if (page.version > page.committed && stillUrgent(state, p.id)) state.urgent.add(p.id);
   }
+  const written = new Set(transaction.pages.map((page) => page.id));
+  if (state.tiedPages[0]?.every((id) => written.has(id)) === true) state.tiedPages.shift();
   for (const id of transaction.done) {
     const job = state.jobs.get(id);
     if (job === undefined) continue;
@@ -135,9 +146,10 @@
     job.free.clear();
     state.waiting.delete(id);
     state.open.delete(id);
-    state.closed.set(id, now);
+    state.closed.set(id, now.steady);
     state.rankStale = true;
     closeChunks(job);
+    onJobEnded(state, id, 'done', now);
   }
 }
 
--- a/src/core/owner.ts
+++ b/src/core/owner.ts
@@ -1,4 +1,5 @@
 import { forecastDemand } from './demand-forecast.js';
+import { onJobEnded, reportMissedDeadlines } from './dependencies.js';
 import { releaseClosedJobs } from './closed-jobs.js';
 import { closeSome, returns } from './fleet-size.js';
 import { logRent, onRefused, rentals } from './rentals.js';
@@ -23,7 +24,7 @@
   Report,
 } from './model.js';
 import { nextTransaction, settled, type Transaction } from './outbox.js';
-import type { PageEntry } from './record-pages.js';
+import { splitOversizedPages, type PageEntry } from './record-pages.js';
 import { mayStart } from './ownership-timing.js';
 import { placementPass, placementPassGap } from './placement-pass.js';
 import { actOnNotices, isDeaf, probeDeaf, returnSilent } from './failure-detector.js';
@@ -42,12 +43,16 @@
 /** What can happen to an owner. Each event is handled alone and yields what is to be done outside. */
 export type Event =
   | { readonly kind: 'job'; readonly id: string; readonly record: JobRecord; readonly stamp: number }
+  /** A job that had ended before the term, and of which nothing is placed. */
+  | { readonly kind: 'ended'; readonly id: string; readonly standing: 'done' | 'cancelled' }
   | {
       readonly kind: 'page';
       readonly id: number;
       readonly entries: readonly PageEntry[];
       readonly stamp: number;
     }
+  /** All that was recorded before the term has been told. */
+  | { readonly kind: 'loaded' }
   | { readonly kind: 'report'; readonly report: Report }
   | {
       readonly kind: 'direct';
@@ -96,9 +101,15 @@
       case 'job':
         onJob(state, event.id, event.record, event.stamp, now);
         break;
+      case 'ended':
+        onJobEnded(state, event.id, event.standing, now);
+        break;
       case 'page':
         onPage(state, event.id, event.entries, event.stamp, now);
         break;
+      case 'loaded':
+        splitOversizedPages(state, now.steady);
+        break;
       case 'report':
         onReport(state, event.report, now);
         onArrival(state, event.report.machine, now);
@@ -118,7 +129,7 @@
         if (event.outcome === 'refused' && event.report !== null) this.refence(event.machine);
         break;
       case 'settled': {
-        settled(state, event.transaction, event.stamp, now.steady);
+        settled(state, event.transaction, event.stamp, now);
         dispatch(state, this.affected(event.transaction), now);
         break;
       }
@@ -228,6 +239,7 @@
       this.lookedAt = now.steady;
       state.needPass = state.needPass || state.waiting.size > 0;
       releaseClosedJobs(state, now.steady);
+      reportMissedDeadlines(state, now);
     }
   }
 
--- a/src/core/placement-pass.ts
+++ b/src/core/placement-pass.ts
@@ -1,4 +1,5 @@
 /** @file One round of placement over the waiting jobs. */
+import { hasTiedPage } from './record-pages.js';
 import { isUsable, viewOf } from './capacity.js';
 import { chunkOf } from './chunks.js';
 import { type ClusterState, NO_ROOM_FOR_ALL, emitLog, isBehind } from './cluster-state.js';
@@ -18,8 +19,8 @@
 import { type Board, add, makeRoom, newBoard } from './preemption.js';
 import { chooseStarved } from './starved-gangs.js';
 import { LEFT_WHOLE, leaveWhole, openFirst, retryable, someNeedWhole, spreadOut, steer } from './steering.js';
-import { type Now, type Span, seconds, toSeconds, wallSeconds } from './time.js';
-import { isHurried, isPatient, wantedBy } from './urgency.js';
+import { type Now, type Span, seconds, toSeconds } from './time.js';
+import { isHurried, isPatient, waitedSeconds, wantedBy } from './urgency.js';
 
 /** Why a job waits: no machine has room for a task. */
 export const NO_ROOM = 'no room';
@@ -39,7 +40,7 @@
       state.waiting.delete(id);
       continue;
     }
-    if (job.standing !== 'open' || job.notBefore > now.steady) continue;
+    if (job.standing !== 'open' || job.notBefore > now.steady || hasTiedPage(state, job)) continue;
     const starved = state.emptying?.job === id && state.emptying.first;
     rows.push({ job, level: starved ? Math.max(level(job), STARVED) : level(job), by: wantedBy(state, job) });
   }
@@ -130,7 +131,7 @@
       emitLog(state, 'placed', {
         job: job.spec.id,
         tasks: before - job.free.size,
-        waited: wallSeconds(job.submitted, now.wall),
+        waited: waitedSeconds(job, now),
         left: job.free.size,
       });
   }
--- a/src/core/preemption.ts
+++ b/src/core/preemption.ts
@@ -13,6 +13,7 @@
   zoneAllowed,
 } from './placement.js';
 import { holdTogether } from './starved-gangs.js';
+import { waitedSeconds } from './urgency.js';
 import { type Now, seconds, toSeconds } from './time.js';
 
 /** What one pass knows of the machines. */
@@ -231,7 +232,7 @@
     if (objective.kind === 'wait' && objective.class === job.spec.class && objective.within !== null)
       within = Math.min(within, toSeconds(objective.within));
   if (within === Infinity) return Infinity;
-  const waited = (now.wall.getTime() - job.submitted.getTime()) / 1000;
+  const waited = waitedSeconds(job, now);
   const lost = job.lostAt !== null && now.steady - job.lostAt < seconds(within + 5);
   return waited > within + 5 && !lost ? Infinity : within;
 }
--- a/src/core/record-pages.ts
+++ b/src/core/record-pages.ts
@@ -1,6 +1,7 @@
 import type { ChunkRecord } from './chunks.js';
 import { CHUNK_TASKS } from './chunks.js';
 import type { Chunk, Job, Page } from './model.js';
+import type { Steady } from './time.js';
 import type { ClusterState } from './cluster-state.js';
 
 /**
@@ -44,6 +45,9 @@
   return ENTRY_HEAD + job.spec.id.length + tasks * each + runs;
 }
 
+/** The least that a value must hold: one chunk with the longest numbers, and what stands beside it. */
+export const LEAST_VALUE_BYTES = 1792;
+
 /** Zone names stand once in a page; this is kept free for them. */
 const PAGE_HEAD = 240;
 
@@ -53,9 +57,9 @@
 /**
  * Each job that starts has its key guarded when its place is committed. All jobs of a page may start at once, after an
  * outage or when their machines were lost, and a page must be written whole: with more jobs than a transaction takes
- * conditions, beside the page's own and the owner's, it could never be written again.
+ * conditions, beside the page's own, the owner's and those of a few jobs that are done, it could never be written again.
  */
-const mostChunks = (state: ClusterState): number => 4 * state.facts.txnOps - 3;
+const mostChunks = (state: ClusterState): number => Math.floor(3.5 * state.facts.txnOps) - 2;
 
 /** Services stay for hours and hardly change: beside arrays they would be written again and again. */
 const poolOf = (job: Job): Page['pool'] => (job.spec.kind === 'service' ? 'lasting' : 'passing');
@@ -69,7 +73,7 @@
   let bestUsed = -1;
   for (const page of state.pages.values()) {
     if (page.pool !== pool && page.chunks.size > 0) continue;
-    if (page.chunks.size >= mostChunks(state)) continue;
+    if (page.chunks.size >= mostChunks(state) || isTied(state, page)) continue;
     const used = usedOf(state, page);
     // The fullest page that has room: the fewer pages are written, the sooner each is.
     if (used + need <= room(state) && used > bestUsed) [best, bestUsed] = [page, used];
@@ -82,6 +86,62 @@
   return best;
 }
 
+/** Whether the page is to be written together with others. */
+export const isTied = (state: ClusterState, page: Page): boolean =>
+  state.tiedPages.some((group) => group.includes(page.id));
+
+/** Whether part of the job is recorded in such a page: nothing new of it is placed until that is written. */
+export function hasTiedPage(state: ClusterState, job: Job): boolean {
+  if (state.tiedPages.length === 0) return false;
+  for (const chunk of job.chunks.values()) if (chunk.page !== null && isTied(state, chunk.page)) return true;
+  return false;
+}
+
+/**
+ * Pages that were written under larger limits of the state service hold more than may be written now. Their chunks are
+ * dealt out to further pages, and all of these are written in one transaction, so that no place is ever unrecorded.
+ */
+export function splitOversizedPages(state: ClusterState, now: Steady): void {
+  for (const page of [...state.pages.values()]) {
+    if (usedOf(state, page) <= room(state) && page.chunks.size <= mostChunks(state)) continue;
+    const group = dealOut(state, page);
+    for (const { id } of group) {
+      state.version += 1;
+      const each = state.pages.get(id);
+      if (each !== undefined) each.version = state.version;
+      state.dirty.set(id, now);
+      state.urgent.add(id);
+    }
+    state.tiedPages.push(group.map(({ id }) => id));
+  }
+}
+
+function dealOut(state: ClusterState, page: Page): Page[] {
+  const group = [page];
+  let target = page;
+  let used = 0;
+  let count = 0;
+  for (const chunk of [...page.chunks]) {
+    const job = state.jobs.get(chunk.job);
+    const need = job === undefined ? 0 : entryBound(state, job, chunk);
+    if (count > 0 && (used + need > room(state) || count >= mostChunks(state))) {
+      target = newPage(state, page.pool);
+      group.push(target);
+      used = 0;
+      count = 0;
+    }
+    if (target !== page) {
+      page.chunks.delete(chunk);
+      target.chunks.add(chunk);
+      chunk.page = target;
+    }
+    used += need;
+    count += 1;
+  }
+  for (const each of group) each.used = null;
+  return group;
+}
+
 function newPage(state: ClusterState, pool: Page['pool']): Page {
   let id = 0;
   while (state.pages.has(id)) id += 1;
--- a/src/core/starved-gangs.ts
+++ b/src/core/starved-gangs.ts
@@ -1,9 +1,10 @@
 /** @file Room kept together, and machines emptied, for gangs that have waited long. */
+import { waitedSeconds } from './urgency.js';
 import { type ClusterState, NO_ROOM_FOR_ALL } from './cluster-state.js';
 import type { Job, Machine } from './model.js';
 import { type Candidate, machineAllowed } from './placement.js';
 import { type Board, type Offer, book, zonesOf } from './preemption.js';
-import { type Now, toSeconds, wallSeconds } from './time.js';
+import { type Now, toSeconds } from './time.js';
 
 /**
  * Seconds after which free room is kept together for a gang, after which machines are emptied for it, and after which
@@ -21,9 +22,9 @@
   for (const id of state.waiting) {
     const job = state.jobs.get(id);
     if (job === undefined || job.spec.kind !== 'gang' || job.waitReason !== NO_ROOM_FOR_ALL) continue;
-    if (longest === null || job.submitted < longest.submitted) longest = job;
+    if (longest === null || waitedSeconds(job, now) > waitedSeconds(longest, now)) longest = job;
   }
-  const waited = longest === null ? 0 : wallSeconds(longest.submitted, now.wall);
+  const waited = longest === null ? 0 : waitedSeconds(longest, now);
   if (longest === null || waited < EMPTY_AFTER_S) {
     state.emptying = null;
     return;
@@ -48,8 +49,7 @@
   now: Now,
 ): void {
   const starved = state.emptying?.job === job.spec.id ? state.emptying : null;
-  if (starved === null && (state.holding !== null || wallSeconds(job.submitted, now.wall) < HOLD_AFTER_S))
-    return;
+  if (starved === null && (state.holding !== null || waitedSeconds(job, now) < HOLD_AFTER_S)) return;
   state.holding ??= job.spec.id;
   const open = board.open.filter(
     (candidate) => machineAllowed(job.spec, candidate.machine) && !job.failedOn.has(candidate.machine.name),
--- a/src/core/urgency.ts
+++ b/src/core/urgency.ts
@@ -3,7 +3,17 @@
 import type { Job } from './model.js';
 import { type Now, seconds, toSeconds, wallSeconds } from './time.js';
 
-/** When a job should have started, by the objectives of its class, or else by its own due time. */
+/** How long a job may wait for which nothing is said. */
+const DEFAULT_WAIT_S = 120;
+
+/** How long a job has waited since it could have started. */
+export const waitedSeconds = (job: Job, now: Now): number =>
+  job.since === null ? 0 : wallSeconds(job.since, now.wall);
+
+/**
+ * When a job should have started: by the objectives of its class, by its deadline, and by those of the jobs that need
+ * it.
+ */
 export function wantedBy(state: ClusterState, job: Job): number {
   let within = Infinity;
   for (const objective of state.facts.objectives) {
@@ -12,9 +22,10 @@
     if (objective.kind === 'wait') within = Math.min(within, span);
     if (objective.kind === 'finished') within = Math.min(within, Math.max(0, span - estimateOf(state, job)));
   }
-  if (within === Infinity)
-    within = job.spec.due === null ? 120 : Math.max(0, toSeconds(job.spec.due) - estimateOf(state, job));
-  return job.submitted.getTime() / 1000 + within;
+  const latestStart = job.latestEnd - estimateOf(state, job);
+  if (within === Infinity && latestStart !== Infinity) return latestStart;
+  const since = job.since ?? job.submitted;
+  return Math.min(since.getTime() / 1000 + (within === Infinity ? DEFAULT_WAIT_S : within), latestStart);
 }
 
 /** The owner's estimate, corrected by what was seen of the class. */
@@ -24,7 +35,7 @@
 
 /** Work that is not wanted before new machines could be up twice over. */
 export function isPatient(state: ClusterState, job: Job, now: Now): boolean {
-  if (job.spec.kind === 'service' || wallSeconds(job.submitted, now.wall) > PATIENT_S) return false;
+  if (job.spec.kind === 'service' || waitedSeconds(job, now) > PATIENT_S) return false;
   let boot = 0;
   for (const type of state.types.values()) boot = Math.max(boot, toSeconds(type.boot));
   // Only where some class is promised a start within that time is there anything to leave room for.
--- a/src/edge/commit-loop.ts
+++ b/src/edge/commit-loop.ts
@@ -18,10 +18,15 @@
 const LEAST_SHARE = 0.5;
 const ALL_SHARE = 0.95;
 
+/** How the state service says that there were too many requests or changes. */
+const TOO_MANY = 'status 429';
+
 /** Carries the owner's transactions to the state service, one at a time, within its share of the changes. */
 export class CommitLoop {
   private readonly wakeSignal = new WakeSignal();
   private readonly budget: RateLimiter;
+  /** Changes a second that the state service takes: fewer once it has said so. */
+  private writeRps: number;
   private usersChanges = 0;
   private usersRate = 0;
   private raise: string | null = null;
@@ -31,6 +36,7 @@
     private readonly key: OwnedKey,
   ) {
     const { facts, writeRps } = term.dependencies;
+    this.writeRps = writeRps;
     this.budget = new RateLimiter(writeRps * MOST_SHARE, Math.max(facts.txnOps, writeRps * 0.5));
   }
 
@@ -61,7 +67,7 @@
   private share(): void {
     this.usersRate = this.usersRate * 0.5 + this.usersChanges * 0.5;
     this.usersChanges = 0;
-    const all = this.term.dependencies.writeRps;
+    const all = this.writeRps;
     const left = all * ALL_SHARE - this.usersRate * 1.25;
     this.budget.perSecond = Math.min(all * MOST_SHARE, Math.max(all * LEAST_SHARE, left));
   }
@@ -81,6 +87,14 @@
     }
   }
 
+  /** More changes than it takes: from now on it takes what was announced, if that is less. */
+  private heedRefusal(why: string): void {
+    const next = this.term.dependencies.nextWriteRps;
+    if (why !== TOO_MANY || next >= this.writeRps) return;
+    this.writeRps = next;
+    this.share();
+  }
+
   private async raiseToken(signal: AbortSignal): Promise<void> {
     this.term.dependencies.log.info({ why: this.raise }, 'raising the token');
     this.raise = null;
@@ -127,6 +141,7 @@
         return this.term.event({ kind: 'settled', transaction: transaction, stamp: result.rev });
       if (result.kind === 'conflict') return this.onConflict(transaction, result, doubtful, signal);
       if (result.kind === 'unknown') doubtful = true;
+      else this.heedRefusal(result.why);
       this.term.dependencies.log.debug({ why: result.why, n }, 'transaction not settled yet');
       await pause(jittered(Math.min(100 * 2 ** n, 1500)), signal);
     }
--- /dev/null
+++ b/src/edge/dependency-index.ts
@@ -0,0 +1,31 @@
+import { DependencyGraph } from '../core/dependency-graph.js';
+import { EndedJob, parseKey, readJob } from '../wire/records.js';
+import type { FollowedCopy } from './ended-jobs.js';
+import type { Entry } from './store.js';
+
+/** Which jobs are cancelled through a job that they need, by the followed copy: as fresh as the copy is. */
+export class DependencyIndex {
+  private readonly graph = new DependencyGraph();
+
+  constructor(store: Pick<FollowedCopy, 'copy' | 'changes'>) {
+    for (const [key, entry] of store.copy) this.take(key, entry);
+    store.changes.subscribe(({ key, entry }) => this.take(key, entry));
+  }
+
+  /** Whether the job was cancelled, by its user or through a dependency. */
+  isCancelled(id: string): boolean {
+    return this.graph.isCancelled(id);
+  }
+
+  private take(key: string, entry: Entry | null): void {
+    const parsed = parseKey(key);
+    if (parsed.kind !== 'job' || entry === null) return;
+    if (entry.value instanceof EndedJob) {
+      this.graph.end(parsed.id, entry.value.standing);
+      return;
+    }
+    const { spec, standing } = readJob(entry.value);
+    if (standing === 'open') this.graph.add(parsed.id, spec.dependencies);
+    else this.graph.end(parsed.id, standing);
+  }
+}
--- a/src/edge/request-handler.ts
+++ b/src/edge/request-handler.ts
@@ -1,4 +1,4 @@
-import type { JobRecord, MachineType, Spec, Team } from '../core/model.js';
+import type { Facts, JobRecord, MachineType, Spec } from '../core/model.js';
 import { everWithinLimit } from '../core/quota.js';
 import type { UserStanding } from '../wire/dialect.js';
 import { EndedJob, ROOT, jobKey, parseKey, readJob, summaryOf, writeJob } from '../wire/records.js';
@@ -6,7 +6,9 @@
 import { jittered } from './jitter.js';
 import type { Log } from './log.js';
 import { Counts } from './counts.js';
+import { DependencyIndex } from './dependency-index.js';
 import type { Store } from './store.js';
+import { DEPENDENCIES, type Versions } from './versions.js';
 
 /** A job as its user sees it. */
 export interface View {
@@ -33,16 +35,19 @@
 export class RequestHandler {
   private inside = 0;
   readonly counts: Counts;
+  private readonly dependencies: DependencyIndex;
   types: readonly MachineType[] = [];
 
   constructor(
     private readonly store: Store,
-    private readonly teams: readonly Team[],
+    private readonly facts: Pick<Facts, 'teams' | 'valueBytes'>,
+    private readonly versions: Pick<Versions, 'allHave'>,
     private readonly log: Log,
     /** So little memory is left that nobody more is let in. */
     private readonly tight: () => boolean,
   ) {
     this.counts = new Counts(store);
+    this.dependencies = new DependencyIndex(store);
   }
 
   get ready(): boolean {
@@ -53,6 +58,9 @@
     const entry = this.store.copy.get(jobKey(id));
     if (entry === undefined) return null;
     const job = summaryOf(entry.value);
+    // Cancelled by the fact that a job that it needs was; it had no task then, and has none since.
+    if (job.standing === 'open' && this.dependencies.isCancelled(id))
+      return { id, standing: 'cancelled', done: 0, running: 0 };
     const { done, placed } = job.standing === 'done' ? { done: job.tasks, placed: 0 } : this.counts.of(id);
     const standing = job.standing === 'open' ? (placed + done > 0 ? 'running' : 'pending') : job.standing;
     return { id, standing, done, running: placed };
@@ -79,22 +87,48 @@
   async submit(id: string, spec: Spec | string): Promise<Answer<View>> {
     if (this.store.copy.has(jobKey(id))) return this.status(id, SUBMIT_LIMIT_MS);
     const why = typeof spec === 'string' ? spec : this.neverRuns(spec);
-    if (why !== null) {
-      const answer = await this.status(id, SUBMIT_LIMIT_MS);
-      return answer.kind === 'absent' ? { kind: 'never', why } : answer;
-    }
+    if (why !== null) return this.never(id, why);
     if (typeof spec === 'string') return { kind: 'never', why: spec };
     if (this.cutOff()) return cut;
     if (!this.ready) return { kind: 'later', seconds: 2, why: 'machine types are not known yet' };
     if (this.inside >= ROOM || this.tight()) return busy;
     this.inside += 1;
     try {
-      return await this.write(spec);
+      const refusal = await this.refuseDependencies(spec);
+      return refusal ?? (await this.write(spec));
     } finally {
       this.inside -= 1;
     }
   }
 
+  /** Why a job with such dependencies is not taken in, or not now; null if it may be. */
+  private async refuseDependencies(spec: Spec): Promise<Answer<View> | null> {
+    const { dependencies } = spec;
+    if (dependencies.length === 0) return null;
+    if (!this.versions.allHave(DEPENDENCIES)) return upgrading;
+    const record: JobRecord = { spec, submitted: new Date(), standing: 'open' };
+    if (JSON.stringify(writeJob(record)).length > this.facts.valueBytes)
+      return this.never(spec.id, 'too many jobs to wait for');
+    if (
+      dependencies.some((id) => !this.store.copy.has(jobKey(id))) &&
+      !(await this.store.fresh(POLL_LIMIT_MS))
+    )
+      return cut;
+    for (const id of dependencies) {
+      const entry = this.store.copy.get(jobKey(id));
+      if (entry === undefined) return this.never(spec.id, `${id} was never accepted`);
+      if (summaryOf(entry.value).kind === 'service')
+        return this.never(spec.id, `${id} is a service: it is never done`);
+    }
+    return null;
+  }
+
+  /** Refuses a submission for good, unless it repeats one that was accepted. */
+  private async never(id: string, why: string): Promise<Answer<View>> {
+    const answer = await this.status(id, SUBMIT_LIMIT_MS);
+    return answer.kind === 'absent' ? { kind: 'never', why } : answer;
+  }
+
   private async write(spec: Spec): Promise<Answer<View>> {
     const began = steady();
     const record: JobRecord = { spec, submitted: new Date(), standing: 'open' };
@@ -148,8 +182,8 @@
   }
 
   private neverRuns(spec: Spec): string | null {
-    if (!this.teams.some((team) => team.name === spec.team)) return `unknown team ${spec.team}`;
-    if (!everWithinLimit(spec, this.teams)) return 'more than the limit of its team';
+    if (!this.facts.teams.some((team) => team.name === spec.team)) return `unknown team ${spec.team}`;
+    if (!everWithinLimit(spec, this.facts.teams)) return 'more than the limit of its team';
     if (this.types.length === 0) return null;
     const fits = this.types.some(
       (type) =>
@@ -172,4 +206,9 @@
 
 const ok = (value: View): Answer<View> => ({ kind: 'ok', value, fresh: false });
 const cut: Answer<never> = { kind: 'later', seconds: 1, why: 'the state service does not answer' };
+const upgrading: Answer<never> = {
+  kind: 'later',
+  seconds: 2,
+  why: 'not before all controllers run a version that knows dependencies',
+};
 const busy: Answer<never> = { kind: 'later', seconds: 1, why: 'too many requests' };
--- a/src/edge/service.ts
+++ b/src/edge/service.ts
@@ -17,6 +17,7 @@
 import { factsOf, type Platform } from './settings.js';
 import { shareSockets } from './sockets.js';
 import { Store } from './store.js';
+import { Versions } from './versions.js';
 
 /** The one part of today; names and keys leave room for more. */
 const PART = 'all';
@@ -32,7 +33,13 @@
   const cloud = new Cloud(p.external.cloud, p.facts.cloud.rps, log);
   const memory = new Memory(p.facts.limits?.memory_mb ?? null, log);
   const sockets = shareSockets(p.facts.limits?.max_sockets ?? null);
-  const requests = new RequestHandler(store, facts.teams, log, () => memory.tight);
+  const versions = new Versions(
+    store,
+    p.label,
+    p.known.map((peer) => peer.label),
+    log,
+  );
+  const requests = new RequestHandler(store, facts, versions, log, () => memory.tight);
   const incarnation = `${p.label}-${new Date().getTime()}-${steady()}`;
   const pages = new DecodedPages();
   const images = new ImagesSeen(store, log, pages, (): boolean => owner.term !== null);
@@ -46,6 +53,7 @@
     cloud,
     log,
     p.facts.state.write_rps,
+    p.facts.state.next?.write_rps ?? Infinity,
     images,
     pages,
     sockets.direct,
@@ -78,6 +86,7 @@
   all.add(images.start());
   all.add(store.start());
   all.add(peers.start());
+  all.add(versions.start());
   all.add(owner.start());
   all.add(
     supervise('types for users', log, async (signal) => {
--- a/src/edge/settings.ts
+++ b/src/edge/settings.ts
@@ -2,6 +2,7 @@
 import * as z from 'zod';
 import type { Facts } from '../core/model.js';
 import { seconds } from '../core/time.js';
+import { LEAST_VALUE_BYTES } from '../core/record-pages.js';
 import { LEAST_MB } from './memory.js';
 import { LEAST_SOCKETS } from './sockets.js';
 
@@ -11,6 +12,17 @@
 const amount = z.number().nonnegative();
 const address = z.string().regex(/^[^\s:]+:[0-9]{1,5}$/, 'must be HOST:PORT');
 
+const perhaps = <T extends z.ZodType>(type: T) => type.optional().catch(undefined);
+
+/** The limits that the state service will have from some moment on. What cannot be read of them is passed over. */
+const nextLimits = perhaps(
+  z.object({
+    write_rps: perhaps(z.number().positive()),
+    value_kb: perhaps(z.number().positive()),
+    txn_ops: perhaps(z.number().int().positive()),
+  }),
+);
+
 const platform = z.object({
   label: z.string().min(1),
   area: z.string(),
@@ -45,6 +57,7 @@
       write_rps: z.number().positive(),
       value_kb: z.number().positive(),
       txn_ops: z.number().int().positive(),
+      next: nextLimits,
     }),
     cloud: z.object({ rps: z.number().positive(), list_lag_s: amount }),
     limits: z
@@ -84,9 +97,21 @@
       `settings ${path}: ${first?.path.join('.') ?? ''}: ${first?.message ?? 'invalid'}`,
     );
   }
+  checkValueLimit(path, r.data);
   return r.data;
 }
 
+/** The smaller of the limits of a value, now and later: what is written must fit both. */
+const valueBytesOf = ({ facts: { state } }: Platform): number =>
+  Math.floor(Math.min(state.value_kb, state.next?.value_kb ?? Infinity) * 1024);
+
+function checkValueLimit(path: string, p: Platform): void {
+  if (valueBytesOf(p) < LEAST_VALUE_BYTES)
+    throw new SettingsError(
+      `settings ${path}: facts.state: values must hold ${LEAST_VALUE_BYTES} bytes, now and by \`next\``,
+    );
+}
+
 /** The platform's settings as the core uses them. */
 export function factsOf(p: Platform): Facts {
   const f = p.facts;
@@ -110,8 +135,8 @@
     gangWait: seconds(f.workers.gang_wait_s),
     gangPeer: seconds(f.workers.gang_peer_s),
     cancel: seconds(f.workers.cancel_s),
-    txnOps: f.state.txn_ops,
-    valueBytes: Math.floor(f.state.value_kb * 1024),
+    txnOps: Math.min(f.state.txn_ops, f.state.next?.txn_ops ?? Infinity),
+    valueBytes: valueBytesOf(p),
     listLag: seconds(f.cloud.list_lag_s),
   };
 }
--- a/src/edge/term-context.ts
+++ b/src/edge/term-context.ts
@@ -17,6 +17,8 @@
   readonly cloud: Cloud;
   readonly log: Log;
   readonly writeRps: number;
+  /** What it will be from some moment on; `Infinity` if nothing is announced. */
+  readonly nextWriteRps: number;
   readonly images: ImagesSeen;
   readonly pages: DecodedPages;
   /** Connections straight to workers that may be open at once. */
--- a/src/edge/term.ts
+++ b/src/edge/term.ts
@@ -121,18 +121,23 @@
     return { token: this.token, orders: this.owner.answer(report, now()) };
   }
 
+  private loadJob(id: string, { value, stamp }: Entry): void {
+    // Of a job that has ended and of which nothing is placed only others may want to know.
+    if (value instanceof EndedJob) this.event({ kind: 'ended', id, standing: value.standing });
+    else this.event({ kind: 'job', id, record: readJob(value), stamp });
+  }
+
   private load(): void {
     const pages: { readonly id: number; readonly entry: Entry }[] = [];
     for (const [key, entry] of this.dependencies.store.copy) {
       const parsed = parseKey(key);
-      // Of a job that has ended and of which nothing is placed there is nothing to do.
-      if (parsed.kind === 'job' && !(entry.value instanceof EndedJob))
-        this.event({ kind: 'job', id: parsed.id, record: readJob(entry.value), stamp: entry.stamp });
+      if (parsed.kind === 'job') this.loadJob(parsed.id, entry);
       if (parsed.kind === 'page' && parsed.part === this.dependencies.part)
         pages.push({ id: parsed.id, entry });
     }
     for (const { id, entry } of pages)
       this.event({ kind: 'page', id, entries: this.dependencies.pages.of(entry), stamp: entry.stamp });
+    this.event({ kind: 'loaded' });
     this.dependencies.log.info(
       { token: this.token, jobs: this.owner.state.jobs.size, pages: pages.length },
       'term begins',
--- /dev/null
+++ b/src/edge/versions.ts
@@ -0,0 +1,57 @@
+import type { Subscription } from 'rxjs';
+import { featuresIn, versionKey, type VersionRecord } from '../wire/records.js';
+import { jittered } from './jitter.js';
+import type { Log } from './log.js';
+import type { Store } from './store.js';
+import { pause, supervise } from './supervised-task.js';
+
+/** Jobs that wait for jobs. */
+export const DEPENDENCIES = 'dependencies';
+
+/** What this version can do beyond the ones that kept no such record. */
+const FEATURES: readonly string[] = [DEPENDENCIES];
+
+const RETRY_MS = 1000;
+
+/**
+ * What the versions of all controllers can do. During an upgrade old and new versions serve side by side, and an old
+ * one would take a record with a new field for one without it. So each controller keeps what it can do in the state
+ * service, under a key that older versions pass over, and a feature is used only once every controller has been seen
+ * with it. A controller that was never seen counts as old; one that was seen stays so while it is down.
+ */
+export class Versions {
+  constructor(
+    private readonly store: Store,
+    private readonly label: string,
+    private readonly others: readonly string[],
+    private readonly log: Log,
+  ) {}
+
+  /** Whether every controller's version can do it, as far as the followed copy knows. */
+  allHave(feature: string): boolean {
+    return [this.label, ...this.others].every((label) => this.featuresOf(label).includes(feature));
+  }
+
+  /** Keeps what this version can do, until unsubscribed or done. */
+  start(): Subscription {
+    return supervise('version', this.log, (signal) => this.register(signal));
+  }
+
+  private featuresOf(label: string): readonly string[] {
+    const entry = this.store.copy.get(versionKey(label));
+    return entry === undefined ? [] : featuresIn(entry.value);
+  }
+
+  private async register(signal: AbortSignal): Promise<void> {
+    const key = versionKey(this.label);
+    const value: VersionRecord = { features: [...FEATURES] };
+    while (!signal.aborted) {
+      if (this.store.loaded) {
+        if (FEATURES.every((feature) => this.featuresOf(this.label).includes(feature))) return;
+        const stamp = this.store.copy.get(key)?.stamp ?? 0;
+        await this.store.commit([{ key, stamp }], [{ write: key, value }]);
+      }
+      await pause(jittered(RETRY_MS), signal);
+    }
+  }
+}
--- a/src/wire/dialect.ts
+++ b/src/wire/dialect.ts
@@ -58,6 +58,8 @@
   const r = schemas.submission.safeParse(body);
   if (!r.success) return failure(r.error);
   const b = r.data;
+  const dependencies = [...new Set(b.awaits ?? [])];
+  if (dependencies.includes(b.ref)) return { ok: false, why: 'awaits: a job cannot wait for itself' };
   return {
     ok: true,
     value: {
@@ -81,6 +83,7 @@
       checkpoint: seconds(b.snapshotEveryS),
       save: seconds(b.snapshotS),
       due: b.dueS === null ? null : seconds(b.dueS),
+      dependencies,
     },
   };
 }
--- a/src/wire/records.ts
+++ b/src/wire/records.ts
@@ -23,6 +23,7 @@
   | { readonly kind: 'part'; readonly part: string }
   | { readonly kind: 'job'; readonly id: string }
   | { readonly kind: 'page'; readonly part: string; readonly id: number }
+  | { readonly kind: 'version'; readonly label: string }
   | { readonly kind: 'other' };
 
 /** Tells what a key stands for. */
@@ -31,9 +32,22 @@
   if (kind === 'part' && a !== undefined) return { kind: 'part', part: a };
   if (kind === 'job' && a !== undefined) return { kind: 'job', id: a };
   if (kind === 'page' && a !== undefined && b !== undefined) return { kind: 'page', part: a, id: Number(b) };
+  if (kind === 'version' && a !== undefined) return { kind: 'version', label: a };
   return { kind: 'other' };
 }
 
+/** The key under which a controller keeps what its version can do; versions that know no such keys pass them over. */
+export const versionKey = (label: string): string => `${TENANT}/version/${label}`;
+
+const versionRecord = z.object({ features: z.array(z.string()) });
+
+/** What a controller's version can do, as it is kept. */
+export type VersionRecord = z.infer<typeof versionRecord>;
+
+/** Reads what a controller's version can do; nothing where it cannot be read. */
+export const featuresIn = (value: unknown): readonly string[] =>
+  versionRecord.safeParse(value).data?.features ?? [];
+
 const partRecord = z.object({ label: z.string(), incarnation: z.string() });
 /** Who owns a part. */
 export type PartRecord = z.infer<typeof partRecord>;
@@ -64,12 +78,14 @@
     checkpoint: z.number(),
     save: z.number(),
     due: z.number().nullable(),
+    // Absent where there are none: records without dependencies keep the bytes of earlier versions.
+    dependencies: z.array(z.string()).optional(),
   }),
 });
 
 /** Writes a job's record. */
 export function writeJob(record: JobRecord): unknown {
-  const spec = record.spec;
+  const { dependencies, ...spec } = record.spec;
   return {
     st: record.standing,
     at: record.submitted.toISOString(),
@@ -79,6 +95,7 @@
       checkpoint: toSeconds(spec.checkpoint),
       save: toSeconds(spec.save),
       due: spec.due === null ? null : toSeconds(spec.due),
+      ...(dependencies.length === 0 ? {} : { dependencies }),
     },
   };
 }
@@ -121,6 +138,7 @@
     checkpoint: seconds(r.s.checkpoint),
     save: seconds(r.s.save),
     due: r.s.due === null ? null : seconds(r.s.due),
+    dependencies: r.s.dependencies ?? [],
   };
   return { spec, submitted: new Date(r.at), standing: r.st };
 }
--- a/src/wire/schemas.ts
+++ b/src/wire/schemas.ts
@@ -32,6 +32,7 @@
   snapshotEveryS: amount,
   snapshotS: amount,
   dueS: orNull(amount),
+  awaits: orNull(z.array(z.string().regex(JOB_ID))),
 });
 
 const ticketName = z.string().regex(/^.{1,200}\/[0-9]{1,9}$/);
--- /dev/null
+++ b/test/dependencies.test.ts
@@ -0,0 +1,64 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { DependencyGraph } from '../src/core/dependency-graph.js';
+
+/** A chain: each job needs the one before it. */
+function chain(length: number): DependencyGraph {
+  const graph = new DependencyGraph();
+  for (let n = 1; n < length; n++) graph.add(`j${n}`, [`j${n - 1}`]);
+  return graph;
+}
+
+test('what is ready or cancelled does not depend on the order in which jobs and ends come to be known', () => {
+  const take = [
+    (graph: DependencyGraph) => graph.add('b', ['a']),
+    (graph: DependencyGraph) => graph.add('c', ['a', 'b', 'x']),
+    (graph: DependencyGraph) => graph.end('a', 'done'),
+    (graph: DependencyGraph) => graph.end('x', 'cancelled'),
+    (graph: DependencyGraph) => graph.add('d', ['c']),
+  ];
+  const orders = (list: readonly number[]): number[][] =>
+    list.length === 0
+      ? [[]]
+      : list.flatMap((n) => orders(list.filter((m) => m !== n)).map((rest) => [n, ...rest]));
+  for (const order of orders([0, 1, 2, 3, 4])) {
+    const graph = new DependencyGraph();
+    const ready: string[] = [];
+    const cancelled: string[] = [];
+    for (const n of order) {
+      const change = take[n]?.(graph);
+      ready.push(...(change?.ready ?? []));
+      cancelled.push(...(change?.cancelled ?? []));
+    }
+    assert.deepEqual([ready, cancelled.sort()], [['b'], ['c', 'd']], order.join());
+    assert.deepEqual(
+      [graph.isCancelled('c'), graph.isCancelled('d'), graph.isCancelled('b')],
+      [true, true, false],
+    );
+    assert.equal(graph.isWaiting('c'), false);
+  }
+});
+
+test('the same end or job told again changes nothing', () => {
+  const graph = new DependencyGraph();
+  graph.add('b', ['a']);
+  assert.deepEqual(graph.end('a', 'done').ready, ['b']);
+  assert.deepEqual(graph.end('a', 'done').ready, []);
+  assert.deepEqual(graph.end('a', 'cancelled').cancelled, [], 'a job that is done stays done');
+  assert.equal(graph.isCancelled('b'), false);
+});
+
+// Constant work for each dependency, not a walk over all jobs: thousands of them fit the smallest machines.
+test('deep chains and wide fans cost work in proportion to their dependencies alone', () => {
+  const size = 5000;
+  const done = chain(size);
+  for (let n = 0; n < size - 1; n++) assert.deepEqual(done.end(`j${n}`, 'done').ready, [`j${n + 1}`]);
+  assert.ok(done.steps <= 4 * size, `${done.steps} steps along a chain`);
+  const cancelled = chain(size);
+  assert.equal(cancelled.end('j0', 'cancelled').cancelled.length, size - 1);
+  assert.ok(cancelled.steps <= 4 * size, `${cancelled.steps} steps to cancel a chain`);
+  const fan = new DependencyGraph();
+  for (let n = 0; n < size; n++) fan.add(`f${n}`, ['root']);
+  assert.equal(fan.end('root', 'done').ready.length, size);
+  assert.ok(fan.steps <= 4 * size, `${fan.steps} steps for a fan`);
+});
--- /dev/null
+++ b/test/limits-next.test.ts
@@ -0,0 +1,97 @@
+import assert from 'node:assert/strict';
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { test } from 'node:test';
+import { Owner } from '../src/core/owner.js';
+import { othersQuietFrom } from '../src/core/ownership-timing.js';
+import type { PageEntry } from '../src/core/record-pages.js';
+import { seconds, type Now } from '../src/core/time.js';
+import { DEFAULT_SETTINGS } from '../src/edge/operator-settings.js';
+import { SettingsError, factsOf, readPlatform } from '../src/edge/settings.js';
+import { readPage, writePage } from '../src/wire/records.js';
+import { FACTS, TYPE, spec } from './player.js';
+import { ownAddress, platform } from './standins/site.js';
+
+const at = (s: number): Now => ({
+  steady: seconds(1000 + s),
+  wall: new Date(Date.UTC(2030, 0, 1) + s * 1000),
+});
+
+const SMALL = { ...FACTS, valueBytes: 2048, txnOps: 4 };
+const JOBS = 14;
+
+function newOwner(facts: typeof FACTS): Owner {
+  const began = at(0).steady;
+  const term = { token: 1, began, contact: began, othersQuiet: othersQuietFrom(facts, began) };
+  const owner = new Owner(facts, DEFAULT_SETTINGS, term);
+  owner.handle({ kind: 'types', types: [TYPE] }, at(0));
+  return owner;
+}
+
+/** A page as a version under the larger limits left it: many jobs' places, more than may be written now. */
+function largePage(id: number): readonly PageEntry[] {
+  return Array.from({ length: JOBS }, (_, n) => ({
+    job: `req-${id}${n}`,
+    index: 0,
+    record: {
+      attempt: 1,
+      done: [],
+      intents: Array.from({ length: 9 }, (_, task) => ({
+        ...{ task, attempt: 1, machine: `n-00000${task}`, session: 1, zone: 'east' },
+      })),
+    },
+  }));
+}
+
+// Between two transactions a process may end: at no time may a place stand in no page that is committed.
+test('pages from before a lower limit are split in one transaction each, and nothing is ever unrecorded', () => {
+  const owner = newOwner(SMALL);
+  const ids = [1, 2, 3];
+  const committed = new Map(ids.map((id) => [id, writePage(largePage(id), FACTS.zones)]));
+  for (const text of committed.values()) assert.ok(text.length > 2048);
+  for (const { job: id } of ids.flatMap(largePage)) {
+    const record = { spec: spec(id, { tasks: 9 }), submitted: at(0).wall, standing: 'open' as const };
+    owner.handle({ kind: 'job', id, record, stamp: 2 }, at(0));
+  }
+  for (const id of ids) owner.handle({ kind: 'page', id, entries: largePage(id), stamp: 50 }, at(0));
+  owner.handle({ kind: 'loaded' }, at(0));
+  let stamp = 100;
+  for (let n = 0; n < 20; n++) {
+    const transaction = owner.nextTransaction(at(5));
+    if (transaction === null) break;
+    assert.ok(transaction.pages.length <= 4);
+    for (const page of transaction.pages) committed.set(page.id, writePage(page.entries, FACTS.zones));
+    const places = [...committed.values()].flatMap(readPage).flatMap((entry) => entry.record.intents);
+    assert.equal(places.length, ids.length * JOBS * 9);
+    owner.handle({ kind: 'settled', transaction, stamp: ++stamp }, at(5));
+  }
+  assert.ok(committed.size > ids.length);
+  for (const text of committed.values()) assert.ok(text.length <= 2048, `${text.length} bytes`);
+  assert.deepEqual(owner.state.tiedPages, []);
+});
+
+test('the smaller of both limits holds from the start; what cannot be read of the later ones is passed over', () => {
+  const folder = mkdtempSync(join(tmpdir(), 'limits-'));
+  const file = join(folder, 'settings.json');
+  const read = (next: unknown): { readonly txnOps: number; readonly valueBytes: number } => {
+    const p = platform('one', ownAddress(), ownAddress(), { addr: ownAddress() });
+    writeFileSync(file, JSON.stringify({ ...p, facts: { ...p.facts, state: { ...p.facts.state, next } } }));
+    const { txnOps, valueBytes } = factsOf(readPlatform(file));
+    return { txnOps, valueBytes };
+  };
+  assert.deepEqual(read({ value_kb: 2, txn_ops: 3, write_rps: 10 }), { txnOps: 3, valueBytes: 2048 });
+  const now = { txnOps: 4, valueBytes: 4096 };
+  for (const next of [
+    undefined,
+    null,
+    7,
+    'x',
+    { value_kb: -1, txn_ops: 'many' },
+    { value_kb: 64, txn_ops: 100 },
+  ])
+    assert.deepEqual(read(next), now, JSON.stringify(next));
+  assert.deepEqual(read({ value_kb: 'x', txn_ops: 2 }), { txnOps: 2, valueBytes: 4096 }, 'each by itself');
+  assert.throws(() => read({ value_kb: 1 }), SettingsError);
+  rmSync(folder, { recursive: true });
+});
--- /dev/null
+++ b/test/pipelines.test.ts
@@ -0,0 +1,123 @@
+import assert from 'node:assert/strict';
+import { after, before, test } from 'node:test';
+import type { Subscription } from 'rxjs';
+import { readJob, versionKey } from '../src/wire/records.js';
+import { call } from './standins/http.js';
+import {
+  ownAddress,
+  job,
+  makeSite,
+  platform,
+  startController,
+  until,
+  untilHealthy,
+} from './standins/site.js';
+import { StateStandIn } from './standins/state.js';
+import { Watch } from './standins/worker.js';
+
+// Jobs that wait for jobs, by two controllers that know each other, on loopback.
+const state = new StateStandIn({ txnOps: 4, valueBytes: 4096 });
+const watch = new Watch();
+const running: { stop: () => void }[] = [];
+const controllers: Subscription[] = [];
+let one = '';
+let two = '';
+let startTwo: () => void = () => undefined;
+
+const submit = async (api: string, id: string, over: Record<string, unknown>): Promise<number> =>
+  (await call(api, 'POST', '/work', job(id, over))).status;
+
+const standing = async (api: string, id: string): Promise<unknown> =>
+  (await call(api, 'GET', `/work/${id}`)).body['standing'];
+
+before(async () => {
+  await state.start();
+  one = ownAddress();
+  two = ownAddress();
+  const site = await makeSite([one, two], watch, (ticket) => (ticket.startsWith('req-9') ? null : 150));
+  running.push(site);
+  const knows = (label: string, api: string, other: string) => ({
+    ...platform(label, api, site.cloud, state),
+    known: [{ label: other, area: 'west', endpoint: ownAddress() }],
+  });
+  controllers.push(startController(knows('one', one, 'two')));
+  startTwo = () => controllers.push(startController(knows('two', two, 'one')));
+  await untilHealthy(one);
+});
+
+after(() => {
+  for (const subscription of controllers) subscription.unsubscribe();
+  for (const each of running) each.stop();
+  state.stop();
+});
+
+test('until every controller was seen with a version that knows dependencies, they are refused for now', async () => {
+  await until('its own version is kept', () =>
+    Promise.resolve(state.items.has(versionKey('one')) ? true : null),
+  );
+  assert.equal(await submit(one, 'req-1', {}), 201, 'everything else is taken as ever');
+  const refused = await call(one, 'POST', '/work', job('req-2', { awaits: ['req-1'] }));
+  assert.equal(refused.status, 503);
+  assert.equal(await submit(one, 'req-3', { awaits: [] }), 201, 'none is none');
+  assert.equal(await submit(one, 'req-4', { awaits: null }), 201);
+  startTwo();
+  await untilHealthy(two);
+  await until('both are known', async () =>
+    (await submit(one, 'req-2', { awaits: ['req-1'] })) === 201 ? true : null,
+  );
+  await until('it runs after the other', async () =>
+    (await standing(two, 'req-2')) === 'done' ? true : null,
+  );
+  const startedAt = (id: string): bigint => watch.startedAt.get(`${id}/0`) ?? 0n;
+  assert.ok(startedAt('req-2') > startedAt('req-1'));
+  assert.deepEqual(state.items.get(versionKey('one'))?.value, { features: ['dependencies'] });
+});
+
+test('a job that is not well-formed gets 400, one that could never run 422', async () => {
+  assert.equal(await submit(one, 'req-90', { shape: 'service' }), 201);
+  for (const awaits of ['req-1', ['x'], [1], ['req-10'], {}])
+    assert.equal(await submit(one, 'req-10', { awaits }), 400, JSON.stringify(awaits));
+  assert.equal(await submit(one, 'req-10', { awaits: ['req-777'] }), 422, 'never accepted');
+  assert.equal(await submit(one, 'req-10', { awaits: ['req-90'] }), 422, 'a service is never done');
+  const many = Array.from({ length: 300 }, (_, n) => `req-${n + 1_000_000}`);
+  assert.equal(await submit(one, 'req-10', { awaits: many }), 422, 'no record holds so many');
+  assert.equal((await call(one, 'GET', '/work/req-10')).status, 404);
+  assert.equal(await submit(two, 'req-11', { awaits: ['req-1', 'req-1'] }), 201, 'the same once');
+  const stored = [...state.items].find(([key]) => key.endsWith('/req-11'))?.[1].value;
+  assert.deepEqual(readJob(stored).spec.dependencies, ['req-1']);
+  assert.equal(
+    await submit(one, 'req-11', { awaits: ['req-777'] }),
+    200,
+    'a repeat gets the state, whatever it says',
+  );
+  await call(one, 'POST', '/work/req-90/withdraw');
+});
+
+test('a cancellation passes on at every controller; done passes nothing on', async () => {
+  assert.equal(await submit(one, 'req-95', {}), 201);
+  assert.equal(await submit(two, 'req-20', { awaits: ['req-95'] }), 201);
+  assert.equal(await submit(one, 'req-21', { awaits: ['req-20', 'req-1'] }), 201);
+  assert.equal(await standing(two, 'req-21'), 'pending');
+  assert.equal((await call(two, 'POST', '/work/req-95/withdraw')).body['standing'], 'cancelled');
+  for (const api of [one, two])
+    for (const id of ['req-20', 'req-21']) assert.equal(await standing(api, id), 'cancelled');
+  assert.equal(await submit(one, 'req-22', { awaits: ['req-21'] }), 201, 'accepted all the same');
+  for (const api of [one, two]) assert.equal(await standing(api, 'req-22'), 'cancelled');
+  assert.equal((await call(one, 'POST', '/work/req-22/withdraw')).body['standing'], 'cancelled');
+  await until('req-11 is done', async () => ((await standing(one, 'req-11')) === 'done' ? true : null));
+  assert.equal((await call(one, 'POST', '/work/req-11/withdraw')).body['standing'], 'done');
+  assert.equal(await submit(one, 'req-23', { awaits: ['req-11'] }), 201);
+  await until('it goes on', async () => ((await standing(two, 'req-23')) === 'done' ? true : null));
+  for (const id of ['req-20', 'req-21', 'req-22']) assert.equal(watch.startedAt.has(`${id}/0`), false);
+  assert.deepEqual(watch.broken, []);
+});
+
+// Of jobs that ended long ago only their ends are kept in memory: a new leader must take those in too.
+test('a new leader starts what waits for a job that had ended before its term', async () => {
+  await new Promise((done) => setTimeout(done, 1500));
+  controllers.shift()?.unsubscribe();
+  assert.equal(await submit(two, 'req-30', { awaits: ['req-1', 'req-2'] }), 201);
+  await until('it runs', async () => ((await standing(two, 'req-30')) === 'done' ? true : null), 15_000);
+  assert.equal(await submit(two, 'req-31', { awaits: ['req-21'] }), 201);
+  assert.equal(await standing(two, 'req-31'), 'cancelled');
+});
--- a/test/player.ts
+++ b/test/player.ts
@@ -2,6 +2,7 @@
 import { Owner, type Event } from '../src/core/owner.js';
 import type { Facts, JobRecord, Listed, MachineType, Report, SeenTask, Spec } from '../src/core/model.js';
 import type { Transaction } from '../src/core/outbox.js';
+import { waitingInOrder } from '../src/core/placement-pass.js';
 import { othersQuietFrom } from '../src/core/ownership-timing.js';
 import { seconds, type Now } from '../src/core/time.js';
 import type { Effect, Order } from '../src/core/cluster-state.js';
@@ -64,6 +65,7 @@
     checkpoint: 0n,
     save: 0n,
     due: null,
+    dependencies: [],
     ...over,
   };
 }
@@ -157,6 +159,9 @@
       case 'cancel':
         this.standing(name, 'cancelled');
         break;
+      case 'ended':
+        this.event({ kind: 'ended', id: name, standing: bare[1] === 'done' ? 'done' : 'cancelled' });
+        break;
       case 'held':
         this.held(name, bare[1] ?? '', args);
         break;
@@ -207,6 +212,9 @@
       save: seconds(num(a['save'], 0)),
       image: a['image'] ?? 'img',
       imageGb: num(a['gb'], 2),
+      estimate: seconds(num(a['estimate'], 30)),
+      due: a['due'] === undefined ? null : seconds(Number(a['due'])),
+      dependencies: (a['after'] ?? '').split(',').filter(Boolean),
     });
     const record: JobRecord = { spec: s, submitted: this.now().wall, standing: 'open' };
     this.event({ kind: 'job', id, record, stamp: ++this.stamp });
@@ -301,6 +309,12 @@
       return assert.deepEqual(got.sort(), want.sort());
     }
     if (what === 'used') return assert.equal(this.owner.state.quota.of(rest[0] ?? '').gpus, Number(rest[1]));
+    if (what === 'priority') return assert.equal(this.owner.state.jobs.get(rest[0] ?? '')?.priority, rest[1]);
+    if (what === 'queue')
+      return assert.deepEqual(
+        waitingInOrder(this.owner.state, this.now()).map((job) => job.spec.id),
+        rest,
+      );
     if (what === 'standing') return assert.equal(this.owner.state.jobs.get(rest[0] ?? '')?.standing, rest[1]);
     throw new Error(`unknown check ${what}`);
   }
--- a/test/records.test.ts
+++ b/test/records.test.ts
@@ -3,7 +3,18 @@
 import { seconds } from '../src/core/time.js';
 import { decode, encode } from '../src/wire/cbor.js';
 import { FrameReader, statusFrame } from '../src/wire/frames.js';
-import { jobKey, pageKey, partKey, readJob, readPage, writeJob, writePage } from '../src/wire/records.js';
+import {
+  featuresIn,
+  jobKey,
+  pageKey,
+  parseKey,
+  partKey,
+  readJob,
+  readPage,
+  versionKey,
+  writeJob,
+  writePage,
+} from '../src/wire/records.js';
 import { spec } from './player.js';
 
 /**
@@ -59,3 +70,28 @@
   assert.equal(statusFrame(status).toString('hex'), STATUS);
   assert.deepEqual(new FrameReader().push(Buffer.from(STATUS, 'hex')), [status]);
 });
+
+/** How the version before dependencies took a key apart, kept as it was. */
+function earlierKind(key: string): string {
+  const [, kind, a, b] = key.split('/');
+  if (kind === 'part' && a !== undefined) return 'part';
+  if (kind === 'job' && a !== undefined) return 'job';
+  if (kind === 'page' && a !== undefined && b !== undefined) return 'page';
+  return 'other';
+}
+
+// It passes over keys of kinds that it does not know, and reads any value under them.
+test('what a version can do is kept under a key that earlier versions pass over', () => {
+  assert.equal(earlierKind(versionKey('hearth-1')), 'other');
+  assert.equal(parseKey(versionKey('hearth-1')).kind, 'version');
+  assert.deepEqual(featuresIn({ features: ['dependencies', 'later'], more: 1 }), ['dependencies', 'later']);
+  for (const value of [null, 'x', {}, { features: 7 }]) assert.deepEqual(featuresIn(value), []);
+});
+
+test('dependencies are a field of their own in a record, absent where there are none', () => {
+  const dependent = { ...record, spec: { ...record.spec, dependencies: ['req-1', 'req-2'] } };
+  const written = writeJob(dependent) as { s: Record<string, unknown> };
+  assert.deepEqual(written.s['dependencies'], ['req-1', 'req-2']);
+  assert.deepEqual(readJob(decode(encode(written))), dependent);
+  assert.equal('dependencies' in (writeJob(record) as { s: object }).s, false);
+});
