Records of jobs cancelled through another are closed by the owner

Cause: a job cancelled through a dependency kept an open record for good: whole in every controller's memory and read whole by each new owner. Its cancellation goes on holding by the other job's record alone; the owner now writes 'cancelled' to its own as well, in transactions of their own, behind recorded places but every 5 s at the latest. The record written is one that earlier versions read; dependents exist only once all controllers are new.

A submission is checked against the value limit with its longest standing: a record that fitted only while open could be neither cancelled nor closed.

--- a/measure/cost.ts
+++ b/measure/cost.ts
@@ -1,6 +1,7 @@
 import { Owner, type Event } from '../src/core/owner.js';
 import type { JobRecord, MachineType, Report, SeenTask, Spec } from '../src/core/model.js';
 import type { PageEntry } from '../src/core/record-pages.js';
+import { changesIn } from '../src/core/outbox.js';
 import { othersQuietFrom } from '../src/core/ownership-timing.js';
 import { seconds, type Now } from '../src/core/time.js';
 import type { Effect } from '../src/core/cluster-state.js';
@@ -136,7 +137,7 @@
       if (transaction === null) return;
       const stamp = ++this.stamp;
       this.commits += 1;
-      this.changes += transaction.pages.length + transaction.done.length;
+      this.changes += changesIn(transaction);
       for (const page of transaction.pages) this.pages.set(page.id, { entries: page.entries, stamp });
       for (const id of transaction.done) {
         const j = this.jobs.get(id);
--- a/src/core/closed-jobs.ts
+++ b/src/core/closed-jobs.ts
@@ -15,7 +15,7 @@
     state.closed.delete(id);
     const job = state.jobs.get(id);
     if (job === undefined || job.standing === 'open') continue;
-    if (job.placedCount > 0) {
+    if (job.placedCount > 0 || state.unrecordedCancellations.has(id)) {
       state.closed.set(id, now);
       continue;
     }
--- a/src/core/cluster-state.ts
+++ b/src/core/cluster-state.ts
@@ -84,6 +84,10 @@
   readonly dirty: Map<number, Steady>;
   readonly urgent: Set<number>;
   readonly dirtyJobs: Map<string, Steady>;
+  /** Jobs cancelled through a dependency whose own records still say open. */
+  readonly unrecordedCancellations: Set<string>;
+  /** When records of such jobs were last written. */
+  cancellationsWrittenAt: Steady;
   longestName: number;
   /** The set of open jobs has changed since guarantees were last marked. */
   rankStale: boolean;
@@ -171,6 +175,8 @@
     dirty: new Map(),
     urgent: new Set(),
     dirtyJobs: new Map(),
+    unrecordedCancellations: new Set(),
+    cancellationsWrittenAt: term.began,
     longestName: 0,
     rankStale: true,
     passedAt: term.began,
--- a/src/core/dependencies.ts
+++ b/src/core/dependencies.ts
@@ -44,7 +44,10 @@
   state.needPass = true;
 }
 
-/** A job that it needs was cancelled: it never runs. Its own record need not say so, since that job's does. */
+/**
+ * A job that it needs was cancelled: it never runs. That holds by that job's record alone; its own is written later, so
+ * that it need not be kept whole for good.
+ */
 function cancelThrough(state: ClusterState, id: string, now: Now): void {
   const job = state.jobs.get(id);
   state.deadlines.delete(id);
@@ -54,6 +57,7 @@
   state.open.delete(id);
   state.waiting.delete(id);
   state.closed.set(id, now.steady);
+  state.unrecordedCancellations.add(id);
   state.rankStale = true;
   closeChunks(job);
   emitLog(state, 'job cancelled: a job that it needs was', { job: id }, 'info');
--- a/src/core/loading.ts
+++ b/src/core/loading.ts
@@ -46,6 +46,7 @@
   }
   if (stamp <= known.stamp) return;
   known.stamp = stamp;
+  if (record.standing !== 'open') state.unrecordedCancellations.delete(id);
   if (record.standing === known.standing) return;
   known.standing = record.standing;
   known.free.clear();
--- a/src/core/outbox.ts
+++ b/src/core/outbox.ts
@@ -25,8 +25,14 @@
   readonly jobs: ReadonlyMap<string, number>;
   readonly pages: readonly PageWrite[];
   readonly done: readonly string[];
+  /** Jobs cancelled through a dependency, whose own records are to say so. */
+  readonly cancelled: readonly string[];
 }
 
+/** How many of the state service's changes a transaction takes. */
+export const changesIn = (transaction: Transaction): number =>
+  transaction.pages.length + transaction.done.length + transaction.cancelled.length;
+
 /**
  * Ended places wait this long for company: nobody waits for them, and each write of a page costs a change. Where more
  * pages change than fit one transaction they wait longer, so that what is waited for is not behind them.
@@ -91,11 +97,41 @@
   return jobs;
 }
 
+/** However much else there is to commit, records of cancelled dependents are written this often. */
+const CANCELLATIONS_EVERY = seconds(5);
+
+/**
+ * Records of jobs that were cancelled through a dependency. They have a transaction of their own: a user may cancel one
+ * of them at the same time, and the places of other jobs must not be refused together with it.
+ */
+function cancellations(state: ClusterState, now: Steady): Transaction | null {
+  if (state.unrecordedCancellations.size === 0) return null;
+  const jobs = new Map<string, number>();
+  for (const id of state.unrecordedCancellations) {
+    if (jobs.size >= state.facts.txnOps) break;
+    const job = state.jobs.get(id);
+    if (job === undefined) state.unrecordedCancellations.delete(id);
+    else jobs.set(id, job.stamp);
+  }
+  state.cancellationsWrittenAt = now;
+  return { token: state.token, jobs, pages: [], done: [], cancelled: [...jobs.keys()] };
+}
+
 /** The next transaction, or null when nothing waits. What it holds stays dirty until `settled`. */
 export function nextTransaction(state: ClusterState, now: Steady): Transaction | null {
   const tied = state.tiedPages[0];
   if (tied !== undefined)
-    return { token: state.token, jobs: startingJobs(state, tied), pages: writesOf(state, tied), done: [] };
+    return {
+      token: state.token,
+      jobs: startingJobs(state, tied),
+      pages: writesOf(state, tied),
+      done: [],
+      cancelled: [],
+    };
+  if (now - state.cancellationsWrittenAt >= CANCELLATIONS_EVERY) {
+    const overdue = cancellations(state, now);
+    if (overdue !== null) return overdue;
+  }
   const ops = state.facts.txnOps;
   const guards = 4 * ops - 1;
   const ids: number[] = [];
@@ -117,8 +153,8 @@
     taken.add(id);
   }
   finishing(state, ops, taken, jobs, done, ids);
-  if (ids.length === 0 && done.length === 0) return null;
-  return { token: state.token, jobs, pages: writesOf(state, ids), done };
+  if (ids.length === 0 && done.length === 0) return cancellations(state, now);
+  return { token: state.token, jobs, pages: writesOf(state, ids), done, cancelled: [] };
 }
 
 /** Takes in that a transaction was carried out. */
@@ -137,6 +173,11 @@
   }
   const written = new Set(transaction.pages.map((page) => page.id));
   if (state.tiedPages[0]?.every((id) => written.has(id)) === true) state.tiedPages.shift();
+  for (const id of transaction.cancelled) {
+    state.unrecordedCancellations.delete(id);
+    const job = state.jobs.get(id);
+    if (job !== undefined) job.stamp = Math.max(job.stamp, stamp);
+  }
   for (const id of transaction.done) {
     const job = state.jobs.get(id);
     if (job === undefined) continue;
--- a/src/edge/commit-loop.ts
+++ b/src/edge/commit-loop.ts
@@ -1,5 +1,6 @@
 import { interval, type Subscription } from 'rxjs';
-import type { Transaction } from '../core/outbox.js';
+import type { Standing } from '../core/model.js';
+import { changesIn, type Transaction } from '../core/outbox.js';
 import { jobKey, pageKey, partKey, summaryOf, writeJob, writePage } from '../wire/records.js';
 import { now } from './clock.js';
 import { jittered } from './jitter.js';
@@ -79,7 +80,7 @@
       if (this.raise !== null) await this.raiseToken(signal);
       const transaction = this.term.owner.nextTransaction(now());
       if (transaction === null) continue;
-      const wait = this.budget.take(transaction.pages.length + transaction.done.length);
+      const wait = this.budget.take(changesIn(transaction));
       if (wait > 0) await pause(wait, signal);
       if (isAborted(signal)) return;
       await this.commit(transaction, signal);
@@ -125,14 +126,8 @@
       guards.push({ key, stamp: page.stamp });
       writes.push({ write: key, value: writePage(page.entries, this.term.dependencies.facts.zones) });
     }
-    for (const id of transaction.done) {
-      const job = this.term.owner.state.jobs.get(id);
-      if (job !== undefined)
-        writes.push({
-          write: jobKey(id),
-          value: writeJob({ spec: job.spec, submitted: job.submitted, standing: 'done' }),
-        });
-    }
+    for (const id of transaction.done) writes.push(...this.endOf(id, 'done'));
+    for (const id of transaction.cancelled) writes.push(...this.endOf(id, 'cancelled'));
     let doubtful = false;
     for (let n = 0; !signal.aborted; n++) {
       const result = await store.commit(guards, writes);
@@ -147,6 +142,20 @@
     }
   }
 
+  /** The record of a job that is over; none if the job is not known any more. */
+  private endOf(id: string, standing: 'done' | 'cancelled'): Write[] {
+    const job = this.term.owner.state.jobs.get(id);
+    if (job === undefined) return [];
+    const { spec, submitted } = job;
+    return [{ write: jobKey(id), value: writeJob({ spec, submitted, standing }) }];
+  }
+
+  /** How a job stands by the followed copy; null if it is not there. */
+  private standingOf(id: string): Standing | null {
+    const entry = this.term.dependencies.store.copy.get(jobKey(id));
+    return entry === undefined ? null : summaryOf(entry.value).standing;
+  }
+
   private async onConflict(
     transaction: Transaction,
     conflict: { readonly failed: readonly string[]; readonly rev: number },
@@ -170,11 +179,10 @@
       return this.term.end('a page was written by somebody else');
     }
     if (doubtful && transaction.pages.length === 0) {
-      const all = transaction.done.every((id) => {
-        const entry = store.copy.get(jobKey(id));
-        return entry !== undefined && summaryOf(entry.value).standing === 'done';
-      });
-      if (all) return this.term.event({ kind: 'settled', transaction: transaction, stamp: store.rev });
+      const carriedOut =
+        transaction.done.every((id) => this.standingOf(id) === 'done') &&
+        transaction.cancelled.every((id) => this.standingOf(id) === 'cancelled');
+      if (carriedOut) return this.term.event({ kind: 'settled', transaction: transaction, stamp: store.rev });
     }
     this.term.dependencies.log.info({ failed }, 'transaction refused by its guards; planned anew');
   }
--- a/src/edge/request-handler.ts
+++ b/src/edge/request-handler.ts
@@ -86,7 +86,7 @@
   /** Takes a job in. `spec` is null if the body was wrong; a known job gets its state all the same. */
   async submit(id: string, spec: Spec | string): Promise<Answer<View>> {
     if (this.store.copy.has(jobKey(id))) return this.status(id, SUBMIT_LIMIT_MS);
-    const why = typeof spec === 'string' ? spec : this.neverRuns(spec);
+    const why = typeof spec === 'string' ? spec : (this.neverRuns(spec) ?? this.tooLarge(spec));
     if (why !== null) return this.never(id, why);
     if (typeof spec === 'string') return { kind: 'never', why: spec };
     if (this.cutOff()) return cut;
@@ -106,9 +106,6 @@
     const { dependencies } = spec;
     if (dependencies.length === 0) return null;
     if (!this.versions.allHave(DEPENDENCIES)) return upgrading;
-    const record: JobRecord = { spec, submitted: new Date(), standing: 'open' };
-    if (JSON.stringify(writeJob(record)).length > this.facts.valueBytes)
-      return this.never(spec.id, 'too many jobs to wait for');
     const found = await Promise.all(dependencies.map((id) => this.findDependency(id)));
     if (found.some((each) => each.kind === 'unread')) return cut;
     for (const [n, each] of found.entries()) {
@@ -185,6 +182,16 @@
     return millisSince(this.store.freshAt) > CUT_MS;
   }
 
+  /**
+   * Why no record can hold such a job; null if one can. The record must fit whatever becomes of the job: one that fits
+   * only while the job is open could neither be cancelled nor, if a job that it needs is cancelled, be closed.
+   */
+  private tooLarge(spec: Spec): string | null {
+    const longest: JobRecord = { spec, submitted: new Date(), standing: 'cancelled' };
+    const bytes = Buffer.byteLength(JSON.stringify(writeJob(longest)));
+    return bytes > this.facts.valueBytes ? 'too large for a record, with the jobs to wait for' : null;
+  }
+
   private neverRuns(spec: Spec): string | null {
     if (!this.facts.teams.some((team) => team.name === spec.team)) return `unknown team ${spec.team}`;
     if (!everWithinLimit(spec, this.facts.teams)) return 'more than the limit of its team';
--- /dev/null
+++ b/test/cancelled-dependents.test.ts
@@ -0,0 +1,135 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { JobRecord } from '../src/core/model.js';
+import { changesIn, type Transaction } from '../src/core/outbox.js';
+import { Owner } from '../src/core/owner.js';
+import { othersQuietFrom } from '../src/core/ownership-timing.js';
+import { seconds, type Now } from '../src/core/time.js';
+import { DEFAULT_SETTINGS } from '../src/edge/operator-settings.js';
+import { FACTS, TYPE, spec } from './player.js';
+
+const DEPENDENTS = 3000;
+
+const at = (s: number): Now => ({
+  steady: seconds(1000 + s),
+  wall: new Date(Date.UTC(2030, 0, 1) + s * 1000),
+});
+
+/** The job records of a state service, and the owners that write them. */
+class Records {
+  readonly jobs = new Map<string, { record: JobRecord; stamp: number }>();
+  private stamp = 100;
+  changes = 0;
+
+  put(id: string, standing: JobRecord['standing'], dependencies: readonly string[] = []): void {
+    const record = { spec: spec(id, { dependencies }), submitted: at(0).wall, standing };
+    this.jobs.set(id, { record, stamp: ++this.stamp });
+  }
+
+  /** A new owner that has read everything. */
+  takeOver(s: number): Owner {
+    const began = at(s).steady;
+    const term = { token: ++this.stamp, began, contact: began, othersQuiet: othersQuietFrom(FACTS, began) };
+    const owner = new Owner(FACTS, DEFAULT_SETTINGS, term);
+    owner.handle({ kind: 'types', types: [TYPE] }, at(s));
+    for (const [id, job] of this.jobs) owner.handle({ kind: 'job', id, ...job }, at(s));
+    owner.handle({ kind: 'loaded' }, at(s));
+    return owner;
+  }
+
+  /** Carries a transaction out; false if one of its guards fails. */
+  carryOut(transaction: Transaction): number | null {
+    for (const [id, stamp] of transaction.jobs) if (this.jobs.get(id)?.stamp !== stamp) return null;
+    const stamp = ++this.stamp;
+    this.changes += changesIn(transaction);
+    for (const id of transaction.cancelled) {
+      const job = this.jobs.get(id);
+      assert.ok(job !== undefined);
+      this.jobs.set(id, { record: { ...job.record, standing: 'cancelled' }, stamp });
+    }
+    return stamp;
+  }
+
+  get open(): number {
+    return [...this.jobs.values()].filter(({ record }) => record.standing === 'open').length;
+  }
+}
+
+function commitNext(records: Records, owner: Owner, s: number): boolean {
+  const transaction = owner.nextTransaction(at(s));
+  if (transaction === null) return false;
+  assert.ok(changesIn(transaction) <= FACTS.txnOps);
+  const stamp = records.carryOut(transaction);
+  if (stamp !== null) owner.handle({ kind: 'settled', transaction, stamp }, at(s));
+  return true;
+}
+
+// Their cancellation holds by the record of the job that they need. Kept open for good, each would stay whole in every
+// controller's memory and be read whole by each new owner.
+test('the records of thousands of jobs cancelled through another are closed, across a takeover', () => {
+  const records = new Records();
+  records.put('req-0', 'cancelled');
+  for (let n = 1; n <= DEPENDENTS; n++) records.put(`req-${n}`, 'open', [`req-${n === 1 ? 0 : n >> 1}`]);
+  const first = records.takeOver(0);
+  for (let n = 0; n < 100; n++) assert.ok(commitNext(records, first, 1));
+  assert.equal(records.open, DEPENDENTS - 100 * FACTS.txnOps);
+  const second = records.takeOver(10);
+  let s = 10;
+  while (commitNext(records, second, s)) s += 0.5;
+  assert.equal(records.open, 0);
+  assert.equal(records.changes, DEPENDENTS, 'each is written once');
+  second.handle({ kind: 'contact', at: at(s + 130).steady }, at(s + 130));
+  second.handle({ kind: 'tick' }, at(s + 130));
+  assert.equal(second.state.jobs.size, 0, 'nothing of them is held');
+  assert.equal(
+    records.takeOver(s + 140).nextTransaction(at(s + 141)),
+    null,
+    'a third owner finds nothing to do',
+  );
+});
+
+test('a job cancelled through another is held until its record says so, however long that takes', () => {
+  const records = new Records();
+  records.put('req-0', 'cancelled');
+  records.put('req-1', 'open', ['req-0']);
+  const owner = records.takeOver(0);
+  for (const s of [1, 130, 260]) {
+    owner.handle({ kind: 'contact', at: at(s).steady }, at(s));
+    owner.handle({ kind: 'tick' }, at(s));
+  }
+  assert.equal(owner.state.jobs.get('req-1')?.standing, 'cancelled');
+  assert.ok(commitNext(records, owner, 261));
+  assert.equal(records.open, 0);
+});
+
+// The transaction that closes it is refused by its guard; the user's own has said the same.
+test('a user who cancels such a job at the same time is not overwritten, and nothing is written twice', () => {
+  const records = new Records();
+  records.put('req-0', 'cancelled');
+  records.put('req-1', 'open', ['req-0']);
+  const owner = records.takeOver(0);
+  const transaction = owner.nextTransaction(at(1));
+  assert.deepEqual(transaction?.cancelled, ['req-1']);
+  records.put('req-1', 'cancelled', ['req-0']);
+  assert.equal(records.carryOut(transaction), null);
+  const job = records.jobs.get('req-1');
+  assert.ok(job !== undefined);
+  owner.handle({ kind: 'job', id: 'req-1', ...job }, at(1));
+  assert.equal(owner.nextTransaction(at(2)), null);
+});
+
+// Places of other jobs come first, but not so that these wait for as long as there is work.
+test('closing them waits for places to be recorded, five seconds at most', () => {
+  const records = new Records();
+  records.put('req-0', 'cancelled');
+  records.put('req-1', 'open', ['req-0']);
+  records.put('req-2', 'open');
+  const owner = records.takeOver(0);
+  const machine = { machine: 'm1', endpoint: 'm1:1', type: 'big', zone: 'east', spot: false };
+  const report = { ...machine, session: 1, seq: 1, token: owner.state.token, notice: null, tasks: [] };
+  owner.handle({ kind: 'report', report }, at(1));
+  owner.handle({ kind: 'contact', at: at(1).steady }, at(1));
+  owner.handle({ kind: 'tick' }, at(1));
+  assert.equal(owner.nextTransaction(at(1))?.pages.length, 1, 'the place of req-2');
+  assert.deepEqual(owner.nextTransaction(at(6))?.cancelled, ['req-1']);
+});
