No fixed limit on machines: images by age, workers take turns when sockets are short

The images seen were kept for at most 4,000 machines: now what was seen within twenty minutes is kept, however many machines that is. The queue of direct calls kept a group for each machine ever called: replaced by one that keeps nothing for idle machines. With more workers than sockets those that found none lost their leases: now their connections are closed after each answer, told once in the log. npm run load takes a number of sockets, and its workers have the lease of real ones.

--- a/measure/load.ts
+++ b/measure/load.ts
@@ -11,9 +11,12 @@
 /**
  * Two controllers as real processes against our stand-ins: what the leader's and the standby's start, rest, work and
  * memory come to, and what the standby spends when it takes over. Run by hand after a build:
- * `npm run load -- MACHINES REPORT_S SECONDS [MEMORY_MB]`. The shares count; absolute times depend on the machine.
+ * `npm run load -- MACHINES REPORT_S SECONDS [MEMORY_MB [SOCKETS]]`. The shares count; absolute times depend on the
+ * machine.
  */
-const [machines = 60, reportS = 1, seconds = 20, memoryMb = 0] = process.argv.slice(2).map(Number);
+const [machines = 60, reportS = 1, seconds = 20, memoryMb = 0, sockets = 4000] = process.argv
+  .slice(2)
+  .map(Number);
 
 const TYPE = {
   label: 'big',
@@ -28,6 +31,8 @@
   halls: ['east', 'west'],
 };
 
+const LEASE_S = 11;
+
 const pause = (ms: number): Promise<void> => new Promise((done) => setTimeout(done, ms));
 
 interface Held {
@@ -146,6 +151,7 @@
     const name = `n-${String(n).padStart(6, '0')}`;
     const worker = new WorkerStandIn(name, zone, controllers, watch, () => 20_000);
     worker.everyMs = reportS * 1000;
+    worker.leaseMs = LEASE_S * 1000;
     worker.agent = new Agent({ keepAlive: true, maxSockets: 1 });
     await worker.start();
     workers.push(worker);
@@ -188,9 +194,9 @@
       : { status: 200, body: { rigs: workers.map(listed), hasNext: false } },
   );
   const settingsOf = (controller: Controller): unknown => {
-    const timing = { report_s: reportS, lease_s: 11, cancel_s: 31 };
+    const timing = { report_s: reportS, lease_s: LEASE_S, cancel_s: 31 };
     const p = platform(controller.label, controller.api, cloud.addr, state, timing);
-    const limits = memoryMb > 0 ? { core_share: 1, memory_mb: memoryMb, max_sockets: 4000 } : undefined;
+    const limits = memoryMb > 0 ? { core_share: 1, memory_mb: memoryMb, max_sockets: sockets } : undefined;
     const team = { cpus: 0, cpus_max: 0, gpus: 0, gpus_max: 0 };
     const teams = ['red', 'blue'].map((name) => ({ name, ...team }));
     return { ...p, facts: { ...p.facts, teams, limits } };
--- a/src/edge/api.ts
+++ b/src/edge/api.ts
@@ -16,6 +16,7 @@
   redirect,
 } from '../wire/dialect.js';
 import type { Answer, RequestHandler, View } from './request-handler.js';
+import { InboundConnections } from './inbound-connections.js';
 import { Listener } from './listener.js';
 import { messageOf } from './supervised-task.js';
 import { parseTarget } from './http-client.js';
@@ -81,13 +82,12 @@
 export function makeApp(
   dependencies: ApiDependencies,
   answer: (raw: Buffer) => ReportAnswer,
-  open: () => number,
+  connections: InboundConnections,
 ): express.Express {
   const app = express();
   app.use((_req: Request, res: Response, next: NextFunction) => {
     // A user stays on the connection it has: closing it lets the next request come to a controller that is healthy.
-    if (open() > dependencies.sockets.turnsAbove || !dependencies.healthy())
-      res.setHeader('connection', 'close');
+    if (connections.usersTakeTurns || !dependencies.healthy()) res.setHeader('connection', 'close');
     next();
   });
   // Turned away before its body is read. The load balancer's question is answered all the same.
@@ -197,33 +197,35 @@
  */
 export function serve(dependencies: ApiDependencies): Observable<{ readonly port: number }> {
   return new Observable((subscriber) => {
-    let open = 0;
+    const connections = new InboundConnections(dependencies.sockets, dependencies.log);
     const answer = reportAnswers(dependencies);
-    const users = http.createServer(makeApp(dependencies, answer, () => open));
+    const users = http.createServer(makeApp(dependencies, answer, connections));
     users.keepAliveTimeout = 120_000;
     users.requestTimeout = 15_000;
     const all = new Subscription();
     const intake = new Intake(() => {
       if (listener.reopen())
-        dependencies.log.info({ open }, 'the queue of new connections is stale: listening anew');
+        dependencies.log.info(
+          { open: connections.open },
+          'the queue of new connections is stale: listening anew',
+        );
     }, dependencies.coreShare);
     const listener = new Listener(parseTarget(dependencies.addr), (socket) => {
-      if (open >= dependencies.sockets.inbound) {
+      if (!connections.admit()) {
         socket.destroy();
         return;
       }
-      open += 1;
       const one = new Subscription();
-      one.add(
-        readReports(socket, BODY_LIMIT, intake, answer, (socket) => {
-          if (open > dependencies.sockets.usersBelow) crowded.add(socket);
-          users.emit('connection', socket);
-          socket.resume();
-        }),
-      );
+      const handOver = (socket: Socket): void => {
+        if (connections.usersRefused) crowded.add(socket);
+        users.emit('connection', socket);
+        socket.resume();
+      };
+      const takesTurns = (): boolean => connections.workersTakeTurns();
+      one.add(readReports(socket, BODY_LIMIT, intake, answer, handOver, takesTurns));
       socket.on('error', () => undefined);
       socket.once('close', () => {
-        open -= 1;
+        connections.release();
         one.unsubscribe();
         all.remove(one);
       });
--- a/src/edge/images.ts
+++ b/src/edge/images.ts
@@ -1,6 +1,6 @@
 import type { Subscription } from 'rxjs';
 import { EndedJob, jobKey, parseKey, readJob } from '../wire/records.js';
-import { millisSince, steady } from './clock.js';
+import { steady } from './clock.js';
 import { messageOf } from './supervised-task.js';
 import { warnSparsely, type Log } from './log.js';
 import type { DecodedPages } from './decoded-pages.js';
@@ -15,8 +15,21 @@
 
 /** A place that has stood so long on a machine has its image, at the slowest fetch that is likely. */
 const fetchedAfterMs = (gb: number, gbPerS: number): number => 2000 + (1500 * gb) / gbPerS;
+/** Nothing is said of a machine on which no place was recorded for so long. */
 const FORGET_MS = 20 * 60_000;
-const MOST_MACHINES = 4000;
+
+/** When an image was first and last seen recorded on a machine. */
+interface Sighting {
+  readonly gb: number;
+  readonly first: bigint;
+  last: bigint;
+}
+
+/** The images of one machine. */
+interface MachineImages {
+  readonly images: Map<string, Sighting>;
+  lastSeen: bigint;
+}
 
 /**
  * Which machines have had which images, as the followed pages show it. Reports tell an owner only the images of what
@@ -24,7 +37,8 @@
  * the choice of a place: what is wrong here costs a fetch.
  */
 export class ImagesSeen {
-  private readonly byMachine = new Map<string, Map<string, { gb: number; first: bigint; last: bigint }>>();
+  /** The machine seen longest ago comes first. */
+  private readonly byMachine = new Map<string, MachineImages>();
 
   constructor(
     private readonly store: Store,
@@ -32,8 +46,14 @@
     private readonly pages: DecodedPages,
     /** A leader hears of images from the workers themselves. */
     private readonly leading: () => boolean,
+    private readonly clock: () => bigint = steady,
   ) {}
 
+  /** How many machines something is known of. */
+  get machines(): number {
+    return this.byMachine.size;
+  }
+
   start(): Subscription {
     return this.store.changes.subscribe((change) => {
       if (change.entry === null || this.leading() || parseKey(change.key).kind !== 'page') return;
@@ -48,33 +68,49 @@
   /** What is likely cached now, given how fast machines fetch. */
   likely(gbPerS: number): ImageSeen[] {
     const out: ImageSeen[] = [];
-    for (const [machine, images] of this.byMachine)
-      for (const [image, s] of images)
-        if (Number(s.last - s.first) / 1e6 >= fetchedAfterMs(s.gb, gbPerS) && millisSince(s.last) < FORGET_MS)
-          out.push({ machine, image, gb: s.gb });
+    const now = this.clock();
+    for (const [machine, { images }] of this.byMachine)
+      for (const [image, { gb, first, last }] of images)
+        if (millisBetween(first, last) >= fetchedAfterMs(gb, gbPerS) && millisBetween(last, now) < FORGET_MS)
+          out.push({ machine, image, gb });
     return out;
   }
 
   private take(page: Entry): void {
-    const now = steady();
+    const now = this.clock();
     for (const entry of this.pages.of(page)) {
       if (entry.record.intents.length === 0) continue;
       const job = this.store.copy.get(jobKey(entry.job));
       if (job === undefined || job.value instanceof EndedJob) continue;
       const { image, imageGb } = readJob(job.value).spec;
-      for (const i of entry.record.intents) {
-        let images = this.byMachine.get(i.machine);
-        if (images === undefined) {
-          // Names come in the order of creation: the first are the oldest and most likely gone.
-          if (this.byMachine.size >= MOST_MACHINES)
-            this.byMachine.delete(this.byMachine.keys().next().value ?? '');
-          images = new Map();
-          this.byMachine.set(i.machine, images);
-        }
-        const seen = images.get(image);
-        if (seen === undefined) images.set(image, { gb: imageGb, first: now, last: now });
-        else seen.last = now;
-      }
+      for (const intent of entry.record.intents) this.see(intent.machine, image, imageGb, now);
+    }
+    this.forgetOld(now);
+  }
+
+  private see(machine: string, image: string, gb: number, now: bigint): void {
+    const known = this.byMachine.get(machine) ?? { images: new Map<string, Sighting>(), lastSeen: now };
+    known.lastSeen = now;
+    // Put at the end anew, so that the order stays that of the last sighting.
+    this.byMachine.delete(machine);
+    this.byMachine.set(machine, known);
+    const sighting = known.images.get(image);
+    if (sighting !== undefined) {
+      sighting.last = now;
+      return;
+    }
+    for (const [other, { last }] of known.images)
+      if (millisBetween(last, now) >= FORGET_MS) known.images.delete(other);
+    known.images.set(image, { gb, first: now, last: now });
+  }
+
+  /** What is kept is bounded by time, not by a number: a fleet may be of any size. */
+  private forgetOld(now: bigint): void {
+    for (const [machine, { lastSeen }] of this.byMachine) {
+      if (millisBetween(lastSeen, now) < FORGET_MS) return;
+      this.byMachine.delete(machine);
     }
   }
 }
+
+const millisBetween = (from: bigint, to: bigint): number => Number(to - from) / 1e6;
--- a/src/edge/reports.ts
+++ b/src/edge/reports.ts
@@ -151,6 +151,8 @@
   intake: Intake,
   answer: (body: Buffer) => ReportAnswer,
   handOver: (socket: Socket) => void,
+  /** Whether the connection is to be closed after an answer, so that others get its socket. */
+  takesTurns: () => boolean = () => false,
 ): () => void {
   let raw: Buffer = Buffer.alloc(0);
   let began = 0n;
@@ -191,8 +193,9 @@
     raw = raw.subarray(head.to);
     takeBack = intake.push(() => {
       takeBack = null;
-      socket.write(answerBytes(answer(body), head.close));
-      if (head.close) {
+      const close = head.close || takesTurns();
+      socket.write(answerBytes(answer(body), close));
+      if (close) {
         stop();
         socket.end();
         return;
--- a/src/edge/workers.ts
+++ b/src/edge/workers.ts
@@ -1,8 +1,9 @@
-import { Subject, concatMap, defer, groupBy, mergeMap, type Subscription } from 'rxjs';
+import { Subscription } from 'rxjs';
 import type { Report } from '../core/model.js';
 import type { Order } from '../core/cluster-state.js';
 import { WORKER_PATHS, orders, parseReport } from '../wire/dialect.js';
 import { HttpClient } from './http-client.js';
+import { SerialTasks } from './serial-tasks.js';
 
 /** Orders for one worker, to be sent straight to it. */
 export interface DirectJob {
@@ -27,7 +28,8 @@
  * connections, those used longest ago are closed beyond `most`: a large fleet would take all our sockets.
  */
 export class Workers {
-  private readonly queue = new Subject<DirectJob>();
+  private readonly calls = new SerialTasks();
+  private stopped = false;
   /** By endpoint, the one used longest ago first. */
   private readonly clients = new Map<string, { readonly client: HttpClient; busy: number }>();
   private busy = 0;
@@ -44,15 +46,11 @@
   ) {}
 
   start(): Subscription {
-    const routines = this.queue
-      .pipe(
-        groupBy((call) => call.machine),
-        mergeMap((one) => one.pipe(concatMap((call) => defer(() => this.send(call))))),
-      )
-      .subscribe((result) => {
-        if (result.job.orders.length === 0) this.asked.delete(result.job.machine);
-        this.result(result);
-      });
+    const routines = new Subscription();
+    routines.add(this.calls.start());
+    routines.add(() => {
+      this.stopped = true;
+    });
     routines.add(() => {
       for (const c of this.clients.values()) c.client.close();
       this.clients.clear();
@@ -66,7 +64,14 @@
       if (this.asked.has(call.machine)) return;
       this.asked.add(call.machine);
     }
-    this.queue.next(call);
+    this.calls.push(call.machine, () => this.carryOut(call));
+  }
+
+  private async carryOut(call: DirectJob): Promise<void> {
+    const result = await this.send(call);
+    if (this.stopped) return;
+    if (call.orders.length === 0) this.asked.delete(call.machine);
+    this.result(result);
   }
 
   private clientOf(endpoint: string): { readonly client: HttpClient; busy: number } {
--- a/test/limits.test.ts
+++ b/test/limits.test.ts
@@ -7,6 +7,7 @@
 import { test } from 'node:test';
 import pino from 'pino';
 import { warnSparsely } from '../src/edge/log.js';
+import { InboundConnections } from '../src/edge/inbound-connections.js';
 import { judge, ownShare } from '../src/edge/memory.js';
 import { readPlatform } from '../src/edge/settings.js';
 import { LEAST_SOCKETS, shareSockets } from '../src/edge/sockets.js';
@@ -25,7 +26,7 @@
 } from './standins/site.js';
 import { call } from './standins/http.js';
 import { StateStandIn } from './standins/state.js';
-import { Watch } from './standins/worker.js';
+import { Watch, WorkerStandIn } from './standins/worker.js';
 
 test('memory: collected when much has come since the last time, users refused when that does not help', () => {
   assert.equal(judge(0.5, 0), 'rest');
@@ -46,9 +47,10 @@
     const s = shareSockets(max);
     assert.ok(s.direct > 0 && s.inbound > 0 && s.usersBelow > 0, `${max}`);
     assert.ok(
-      s.turnsAbove < s.usersBelow && s.usersBelow < s.inbound && s.inbound + s.direct + 20 < max,
+      s.turnsAbove < s.usersBelow && s.usersBelow < s.workerTurnsAbove && s.workerTurnsAbove < s.inbound,
       `${max}`,
     );
+    assert.ok(s.inbound + s.direct + 20 < max, `${max}`);
   }
   // A fleet half as large again as the settings were written for keeps a connection each.
   assert.ok(shareSockets(1760).inbound > 1150);
@@ -165,6 +167,60 @@
   }
 });
 
+test('once sockets were short, workers go on taking turns for a minute, and the log says so once', () => {
+  let clock = 0n;
+  const lines: string[] = [];
+  const log = pino({ level: 'info' }, { write: (line: string) => lines.push(line) });
+  const shares = shareSockets(600);
+  const connections = new InboundConnections(shares, log, () => clock);
+  for (let n = 0; n < shares.workerTurnsAbove; n++) assert.ok(connections.admit());
+  assert.equal(connections.workersTakeTurns(), false);
+  assert.ok(connections.usersRefused && connections.usersTakeTurns, 'users come first');
+  while (connections.admit()) assert.ok(connections.workersTakeTurns());
+  assert.equal(connections.open, shares.inbound);
+  while (connections.open > 0) connections.release();
+  clock += 59_000_000_000n;
+  assert.ok(connections.workersTakeTurns());
+  clock += 2_000_000_000n;
+  assert.equal(connections.workersTakeTurns(), false);
+  assert.equal(lines.length, 1);
+});
+
+// Each of them would otherwise keep its connection, and those that find no socket lose their leases and their tasks.
+test('more workers than sockets: they take turns, and the lease of each goes on being renewed', async () => {
+  const state = new StateStandIn({ txnOps: 4, valueBytes: 4096 });
+  await state.start();
+  const api = ownAddress();
+  const watch = new Watch();
+  const site = await makeSite([api], watch, () => 150);
+  const p = platform('one', api, site.cloud, state);
+  const limits = { core_share: 1, memory_mb: 4000, max_sockets: LEAST_SOCKETS };
+  const controller = startController({ ...p, facts: { ...p.facts, limits } });
+  const workers = Array.from({ length: 100 }, (_, n) => {
+    const worker = new WorkerStandIn(`n-1${String(n).padStart(5, '0')}`, 'east', [api], watch, () => 150);
+    worker.everyMs = 500;
+    worker.agent = new Agent({ keepAlive: true, maxSockets: 1 });
+    return worker;
+  });
+  try {
+    await untilHealthy(api);
+    for (const worker of workers) await worker.start();
+    for (let round = 0; round < 3; round++) {
+      const began = process.hrtime.bigint();
+      await until(
+        `all are answered, round ${round}`,
+        () => Promise.resolve(workers.every((worker) => worker.renewed > began) ? true : null),
+        5000,
+      );
+    }
+  } finally {
+    for (const worker of workers) worker.stop();
+    controller.unsubscribe();
+    site.stop();
+    state.stop();
+  }
+});
+
 test('a flood of what cannot be taken gets its refusals, and workers are answered meanwhile', async () => {
   const state = new StateStandIn({ txnOps: 4, valueBytes: 4096 });
   await state.start();
