Old, new, old, new in one test, on each other's records

Kept copies of what the version in production writes and accepts (test/standins/production-version.ts) lead in turn with this version over one set of records: services, gangs and arrays running, a cancellation written by one and carried out by the other, reports from before the first takeover arriving after each. No task starts twice or is lost, ends and cancellations hold, both read the same. A second test shows what the guard is for: the older version would start a dependent at once.

--- a/test/standins/core-fleet.ts
+++ b/test/standins/core-fleet.ts
@@ -24,6 +24,28 @@
   zones: ['east', 'west'],
 };
 
+/** How a version writes records and reads them. */
+export interface RecordCodec {
+  writeJob(record: JobRecord): unknown;
+  readJob(value: unknown): JobRecord;
+  writePage(entries: readonly PageEntry[], zones: readonly string[]): unknown;
+  readPage(value: unknown): readonly PageEntry[];
+}
+
+/** Records kept as they are, where it does not matter how they are written. */
+const UNWRITTEN: RecordCodec = {
+  writeJob: (record) => record,
+  readJob: (value) => value as JobRecord,
+  writePage: (entries) => entries,
+  readPage: (value) => value as readonly PageEntry[],
+};
+
+/** A key of the state service. */
+interface Stored {
+  readonly value: unknown;
+  readonly stamp: number;
+}
+
 /** The owner's core with a fleet that reports to it and a state service that carries out its transactions. */
 export class CoreFleet {
   private at = 0;
@@ -31,12 +53,16 @@
   owner: Owner;
   readonly held = new Map<string, SeenTask[]>();
   private readonly seqs = new Map<string, number>();
-  readonly jobs = new Map<string, { record: JobRecord; stamp: number }>();
-  readonly pages = new Map<number, { entries: readonly PageEntry[]; stamp: number }>();
+  readonly jobs = new Map<string, Stored>();
+  readonly pages = new Map<number, Stored>();
   changes = 0;
   commits = 0;
 
-  constructor(readonly machines: number) {
+  constructor(
+    readonly machines: number,
+    /** Of the version that leads. */
+    public codec: RecordCodec = UNWRITTEN,
+  ) {
     this.owner = this.newOwner();
   }
 
@@ -57,8 +83,11 @@
       },
     );
     this.event({ kind: 'types', types: [TYPE] });
-    for (const [id, j] of this.jobs) this.event({ kind: 'job', id, ...j });
-    for (const [id, p] of this.pages) this.event({ kind: 'page', id, ...p });
+    for (const [id, { value, stamp }] of this.jobs)
+      this.event({ kind: 'job', id, record: this.codec.readJob(value), stamp });
+    for (const [id, { value, stamp }] of this.pages)
+      this.event({ kind: 'page', id, entries: this.codec.readPage(value), stamp });
+    this.event({ kind: 'loaded' });
     return this.owner;
   }
 
@@ -114,6 +143,9 @@
           why: null,
           saved: false,
         });
+      const task = held[at];
+      if (order.op === 'stop' && task !== undefined)
+        held[at] = { ...task, state: 'exited', why: task.why ?? 'stopped' };
       if (order.op === 'forget' && at >= 0) held.splice(at, 1);
     }
     this.held.set(name, held);
@@ -125,9 +157,14 @@
 
   submit(id: string, over: Partial<Spec>): void {
     const record: JobRecord = { spec: spec(id, over), submitted: this.now().wall, standing: 'open' };
+    this.store(id, this.codec.writeJob(record));
+  }
+
+  /** A job's record is written, by any controller, and the owner follows it. */
+  store(id: string, value: unknown): void {
     const stamp = ++this.stamp;
-    this.jobs.set(id, { record, stamp });
-    this.event({ kind: 'job', id, record, stamp });
+    this.jobs.set(id, { value, stamp });
+    this.event({ kind: 'job', id, record: this.codec.readJob(value), stamp });
   }
 
   /** Carries out transactions until nothing is due. */
@@ -138,25 +175,42 @@
       const stamp = ++this.stamp;
       this.commits += 1;
       this.changes += changesIn(transaction);
-      for (const page of transaction.pages) this.pages.set(page.id, { entries: page.entries, stamp });
-      for (const id of transaction.done) {
-        const j = this.jobs.get(id);
-        if (j !== undefined) this.jobs.set(id, { record: { ...j.record, standing: 'done' }, stamp });
-      }
+      for (const page of transaction.pages)
+        this.pages.set(page.id, { value: this.codec.writePage(page.entries, FACTS.zones), stamp });
+      for (const id of transaction.done) this.end(id, 'done', stamp);
+      for (const id of transaction.cancelled) this.end(id, 'cancelled', stamp);
       this.event({ kind: 'settled', transaction: transaction, stamp });
     }
   }
 
+  /** The owner writes the end of a job from what it holds in memory. */
+  private end(id: string, standing: 'done' | 'cancelled', stamp: number): void {
+    const job = this.owner.state.jobs.get(id);
+    if (job === undefined) return;
+    const { spec, submitted } = job;
+    this.jobs.set(id, { value: this.codec.writeJob({ spec, submitted, standing }), stamp });
+  }
+
+  /** Has one running task of a machine end well; false: it has none. */
   finish(n: number): boolean {
-    const name = this.name(n);
-    const held = this.held.get(name) ?? [];
-    const at = held.findIndex((task) => task.state === 'running');
-    const t = held[at];
-    if (t === undefined) return false;
+    const held = this.held.get(this.name(n)) ?? [];
+    const task = held.find((each) => each.state === 'running');
+    if (task === undefined) return false;
+    this.exitWell(n, task);
+    return true;
+  }
+
+  /** Has all running tasks of a job on a machine end well. */
+  finishOf(n: number, job: string): void {
+    for (const task of this.held.get(this.name(n)) ?? [])
+      if (task.job === job && task.state === 'running') this.exitWell(n, task);
+  }
+
+  private exitWell(n: number, task: SeenTask): void {
+    const held = this.held.get(this.name(n)) ?? [];
     this.held.set(
-      name,
-      held.map((task, k) => (k === at ? { ...t, state: 'exited', why: 'done' } : task)),
+      this.name(n),
+      held.map((each) => (each === task ? { ...each, state: 'exited', why: 'done' } : each)),
     );
-    return true;
   }
 }
--- /dev/null
+++ b/test/standins/production-version.ts
@@ -0,0 +1,128 @@
+import * as z from 'zod';
+import type { JobRecord } from '../../src/core/model.js';
+import type { PageEntry } from '../../src/core/record-pages.js';
+import { seconds, toSeconds } from '../../src/core/time.js';
+import type { RecordCodec } from './core-fleet.js';
+
+/**
+ * Kept copies of what the version named as `production` in `deploy/service.toml` writes to the state service and
+ * accepts from it. They stay as they are while that version may run beside newer ones: tests play both on each other's
+ * records. It knows no dependencies, and drops fields that it does not know.
+ */
+const jobRecord = z.object({
+  st: z.enum(['open', 'cancelled', 'done']),
+  at: z.string(),
+  s: z.object({
+    id: z.string(),
+    class: z.string(),
+    team: z.string(),
+    kind: z.enum(['array', 'gang', 'service']),
+    priority: z.enum(['low', 'normal', 'high', 'production']),
+    tasks: z.number(),
+    cpus: z.number(),
+    gpus: z.number(),
+    memory: z.number(),
+    types: z.array(z.string()).nullable(),
+    zone: z.string().nullable(),
+    oneZone: z.boolean(),
+    spread: z.boolean(),
+    spot: z.boolean(),
+    image: z.string(),
+    imageGb: z.number(),
+    estimate: z.number(),
+    checkpoint: z.number(),
+    save: z.number(),
+    due: z.number().nullable(),
+  }),
+});
+
+const ROW = /^([^/ ]+)\/(\d+) a(\d+) c(\d+),(\d+) ([\d,-]*) (.*)$/;
+
+function writeJob(record: JobRecord): unknown {
+  // What it has no field for it never held in memory.
+  const spec = Object.fromEntries(Object.entries(record.spec).filter(([field]) => field !== 'dependencies'));
+  return {
+    st: record.standing,
+    at: record.submitted.toISOString(),
+    s: {
+      ...spec,
+      estimate: toSeconds(record.spec.estimate),
+      checkpoint: toSeconds(record.spec.checkpoint),
+      save: toSeconds(record.spec.save),
+      due: record.spec.due === null ? null : toSeconds(record.spec.due),
+    },
+  };
+}
+
+function readJob(value: unknown): JobRecord {
+  const r = jobRecord.parse(value);
+  const spec = {
+    ...r.s,
+    estimate: seconds(r.s.estimate),
+    checkpoint: seconds(r.s.checkpoint),
+    save: seconds(r.s.save),
+    due: r.s.due === null ? null : seconds(r.s.due),
+    dependencies: [],
+  };
+  return { spec, submitted: new Date(r.at), standing: r.st };
+}
+
+function runs(done: readonly number[]): [number, number][] {
+  const out: [number, number][] = [];
+  for (const task of done) {
+    const last = out[out.length - 1];
+    if (last !== undefined && last[1] === task - 1) last[1] = task;
+    else out.push([task, task]);
+  }
+  return out;
+}
+
+const escaped = (s: string): string =>
+  encodeURIComponent(s).replace(/[.!'()*~]/g, (c) => `%${c.charCodeAt(0).toString(16).toUpperCase()}`);
+
+function writePage(entries: readonly PageEntry[], zones: readonly string[]): string {
+  const names = [...zones];
+  const zoneOf = (name: string): number => {
+    const at = names.indexOf(name);
+    return at >= 0 ? at : names.push(name) - 1;
+  };
+  const rows = entries.map(({ job, index, record }) => {
+    const done = runs(record.done)
+      .map(([a, b]) => (a === b ? String(a) : `${a}-${b}`))
+      .join(',');
+    const places = record.intents
+      .map((i) => `${i.task}.${i.attempt}.${escaped(i.machine)}.${i.session}.${zoneOf(i.zone)}`)
+      .join(',');
+    return `${job}/${index} a${record.attempt} c${record.done.length},${record.intents.length} ${done} ${places}`;
+  });
+  return [names.map(escaped).join(','), ...rows].join('|');
+}
+
+function readPage(value: unknown): PageEntry[] {
+  if (typeof value !== 'string') throw new Error('a page is not text');
+  const [head = '', ...rows] = value.split('|');
+  const zones = head === '' ? [] : head.split(',').map(decodeURIComponent);
+  return rows.map((row) => {
+    const m = ROW.exec(row);
+    if (m === null) throw new Error(`a page has an entry that cannot be read: ${row.slice(0, 40)}`);
+    const done: number[] = [];
+    for (const run of m[6] === '' ? [] : (m[6] ?? '').split(',')) {
+      const [a = 0, b = a] = run.split('-').map(Number);
+      for (let task = a; task <= b; task++) done.push(task);
+    }
+    const intents = (m[7] === '' ? [] : (m[7] ?? '').split(',')).map((place) => {
+      const [task, attempt, machine, session, zone] = place.split('.');
+      return {
+        task: Number(task),
+        attempt: Number(attempt),
+        machine: decodeURIComponent(machine ?? ''),
+        session: Number(session),
+        zone: zones[Number(zone)] ?? '',
+      };
+    });
+    return { job: m[1] ?? '', index: Number(m[2]), record: { attempt: Number(m[3]), done, intents } };
+  });
+}
+
+/** The records of the version in production. */
+export const PRODUCTION_CODEC: RecordCodec = { writeJob, readJob, writePage, readPage };
--- /dev/null
+++ b/test/versions.test.ts
@@ -0,0 +1,177 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { makeLog } from '../src/edge/log.js';
+import type { Entry, Store } from '../src/edge/store.js';
+import { DEPENDENCIES, Versions } from '../src/edge/versions.js';
+import { readJob, readPage, versionKey, writeJob, writePage } from '../src/wire/records.js';
+import { CoreFleet, type RecordCodec } from './standins/core-fleet.js';
+import { PRODUCTION_CODEC } from './standins/production-version.js';
+
+/**
+ * The version in production and this one side by side, as in an upgrade: each leads in turn and goes on with what the
+ * other recorded. The older one's records are written and read by copies kept from it.
+ */
+const THIS_CODEC: RecordCodec = { writeJob, readJob, writePage, readPage };
+const MACHINES = 6;
+
+/** A controller's picture of which versions run. */
+class Registry {
+  private readonly copy = new Map<string, Entry>();
+
+  upgraded(label: string): void {
+    this.copy.set(versionKey(label), { value: { features: [DEPENDENCIES] }, stamp: 1 });
+  }
+
+  seenBy(label: string, others: readonly string[]): Versions {
+    return new Versions({ copy: this.copy } as unknown as Store, label, others, makeLog('test'));
+  }
+}
+
+function takeOver(fleet: CoreFleet, codec: RecordCodec): void {
+  fleet.codec = codec;
+  fleet.newOwner();
+}
+
+/** Lets machines report, passes be made and transactions be carried out for a while. */
+function go(fleet: CoreFleet, seconds: number): void {
+  for (let n = 0; n < seconds * 4; n++) {
+    fleet.advance(0.25);
+    fleet.helloAll();
+    fleet.event({ kind: 'tick' });
+    fleet.commit();
+    checkPlaces(fleet);
+  }
+}
+
+function tasksOf(fleet: CoreFleet, job: string): string[] {
+  const out: string[] = [];
+  for (const [machine, tasks] of fleet.held)
+    for (const task of tasks)
+      if (task.job === job && task.state !== 'exited') out.push(`${task.task}#${task.attempt} on ${machine}`);
+  return out.sort();
+}
+
+function checkPlaces(fleet: CoreFleet): void {
+  const places = new Map<string, string>();
+  for (const [machine, tasks] of fleet.held)
+    for (const task of tasks) {
+      if (task.state === 'exited') continue;
+      const key = `${task.job}/${task.task}`;
+      assert.equal(places.get(key), undefined, `${key} runs on ${machine} and elsewhere`);
+      places.set(key, machine);
+    }
+}
+
+/** Both versions read the same from what is stored. */
+function checkRecords(fleet: CoreFleet): void {
+  for (const { value } of fleet.jobs.values())
+    assert.deepEqual(PRODUCTION_CODEC.readJob(value), readJob(value));
+  for (const { value } of fleet.pages.values())
+    assert.deepEqual(PRODUCTION_CODEC.readPage(value), readPage(value));
+}
+
+function cancel(fleet: CoreFleet, codec: RecordCodec, id: string): void {
+  const stored = fleet.jobs.get(id);
+  assert.ok(stored !== undefined);
+  fleet.store(id, codec.writeJob({ ...codec.readJob(stored.value), standing: 'cancelled' }));
+}
+
+test('old, new, old, new lead in turn: nothing is started twice or lost, cancellations and ends hold', () => {
+  const fleet = new CoreFleet(MACHINES, PRODUCTION_CODEC);
+  fleet.helloAll();
+  // Taken as proof they would show, later on, that nothing of the following runs.
+  const late = Array.from({ length: MACHINES }, (_, n) => fleet.report(n));
+  fleet.submit('req-1', { kind: 'service', tasks: 2, priority: 'production', spread: true });
+  fleet.submit('req-2', { kind: 'gang', tasks: 3, oneZone: true });
+  fleet.submit('req-3', { tasks: 4 });
+  go(fleet, 5);
+  const before = ['req-1', 'req-2', 'req-3'].map((id) => tasksOf(fleet, id));
+  assert.deepEqual(
+    before.map((tasks) => tasks.length),
+    [2, 3, 4],
+  );
+
+  takeOver(fleet, THIS_CODEC);
+  checkRecords(fleet);
+  go(fleet, 2);
+  assert.deepEqual(
+    ['req-1', 'req-2', 'req-3'].map((id) => tasksOf(fleet, id)),
+    before,
+    'all run on, in place',
+  );
+  cancel(fleet, THIS_CODEC, 'req-2');
+
+  // Before anything of the cancelled job is stopped, and with reports from before it still under way.
+  takeOver(fleet, PRODUCTION_CODEC);
+  go(fleet, 1);
+  for (const report of late) fleet.event({ kind: 'report', report });
+  checkRecords(fleet);
+  go(fleet, 3);
+  assert.deepEqual(tasksOf(fleet, 'req-2'), [], 'the cancellation that the new version wrote is carried out');
+  assert.deepEqual(tasksOf(fleet, 'req-1'), before[0]);
+  for (let n = 0; n < MACHINES; n++) fleet.finishOf(n, 'req-3');
+
+  takeOver(fleet, THIS_CODEC);
+  go(fleet, 1);
+  for (const report of late) fleet.event({ kind: 'report', report });
+  go(fleet, 3);
+  checkRecords(fleet);
+  const standing = (id: string): string => readJob(fleet.jobs.get(id)?.value).standing;
+  assert.deepEqual(['req-1', 'req-2', 'req-3'].map(standing), ['open', 'cancelled', 'done']);
+  assert.deepEqual(tasksOf(fleet, 'req-1'), before[0]);
+  assert.deepEqual([tasksOf(fleet, 'req-2'), tasksOf(fleet, 'req-3')], [[], []]);
+});
+
+// What the guard is for: the older version passes over the field and starts the job at once.
+test('a dependent job would be started at once by the version in production; so none is taken in before all are new', () => {
+  const registry = new Registry();
+  const labels = ['one', 'two', 'three'];
+  const allHave = (): boolean[] =>
+    labels.map((label) =>
+      registry
+        .seenBy(
+          label,
+          labels.filter((other) => other !== label),
+        )
+        .allHave(DEPENDENCIES),
+    );
+  for (const label of labels) {
+    assert.deepEqual(allHave(), [false, false, false], `before ${label} is upgraded`);
+    registry.upgraded(label);
+  }
+  assert.deepEqual(allHave(), [true, true, true]);
+
+  const fleet = new CoreFleet(MACHINES, THIS_CODEC);
+  fleet.helloAll();
+  fleet.submit('req-1', { tasks: 1 });
+  fleet.submit('req-2', { tasks: 2, dependencies: ['req-1'] });
+  go(fleet, 3);
+  assert.deepEqual(tasksOf(fleet, 'req-2'), [], 'this version waits');
+  takeOver(fleet, PRODUCTION_CODEC);
+  go(fleet, 3);
+  assert.equal(tasksOf(fleet, 'req-2').length, 2, 'the older one does not');
+});
+
+test('with all controllers new, what waits and what is cancelled through another stays so from leader to leader', () => {
+  const fleet = new CoreFleet(MACHINES, THIS_CODEC);
+  fleet.helloAll();
+  fleet.submit('req-1', { tasks: 1 });
+  fleet.submit('req-2', { dependencies: ['req-1'] });
+  fleet.submit('req-3', { tasks: 1 });
+  fleet.submit('req-4', { dependencies: ['req-3', 'req-1'] });
+  go(fleet, 3);
+  cancel(fleet, THIS_CODEC, 'req-3');
+  takeOver(fleet, THIS_CODEC);
+  go(fleet, 3);
+  assert.deepEqual([tasksOf(fleet, 'req-2'), tasksOf(fleet, 'req-4')], [[], []]);
+  assert.equal(
+    PRODUCTION_CODEC.readJob(fleet.jobs.get('req-4')?.value).standing,
+    'cancelled',
+    'readable by both',
+  );
+  for (let n = 0; n < MACHINES; n++) fleet.finishOf(n, 'req-1');
+  takeOver(fleet, THIS_CODEC);
+  go(fleet, 3);
+  assert.equal(tasksOf(fleet, 'req-2').length, 1);
+  assert.deepEqual(tasksOf(fleet, 'req-4'), []);
+});
