The first 20 s of a term told by step, and what the peers' link holds, by npm run load

Need: after a takeover it was told by second and by function only. The term adds up what its events took, by step, for 20 s and tells it once in the log; npm run load prints that line for the standby, and the heap of a link between two controllers.

--- a/measure/load.ts
+++ b/measure/load.ts
@@ -4,13 +4,15 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { call, listen } from '../test/standins/http.js';
-import { ownAddress, job, platform } from '../test/standins/site.js';
+import { bytesOfPeerLink } from './peer-link.js';
+import { ownAddress, job, platform, until } from '../test/standins/site.js';
 import { StateStandIn } from '../test/standins/state.js';
 import { Watch, WorkerStandIn } from '../test/standins/worker.js';
 
 /**
  * Two controllers as real processes against our stand-ins: what the leader's and the standby's start, rest, work and
- * memory come to, and what the standby spends when it takes over. Run by hand after a build:
+ * memory come to, what the standby spends when it takes over, by second, by function and by step of ours, and what the
+ * link between them holds. Run by hand after a build:
  * `npm run load -- MACHINES REPORT_S SECONDS [MEMORY_MB [SOCKETS]]`. The shares count; absolute times depend on the
  * machine.
  */
@@ -94,6 +96,8 @@
 
 /** How long the standby is looked at once it leads. */
 const TAKEOVER_S = 20;
+/** The steps are told 20 s after the term begins, which may be some seconds after the leader's end. */
+const STEPS_LIMIT_MS = 10_000;
 
 const folder = mkdtempSync(join(tmpdir(), 'load-'));
 
@@ -101,6 +105,7 @@
 class Controller {
   readonly api = ownAddress();
   private child: ChildProcess | null = null;
+  private readonly log: string[] = [];
   private last: Held = { userMs: 0, systemMs: 0, rssMb: 0 };
 
   constructor(readonly label: string) {}
@@ -117,8 +122,9 @@
     this.child = spawn(
       process.execPath,
       ['--cpu-prof', `--cpu-prof-dir=${folder}`, 'target/main.js', '--config', file],
-      { stdio: ['ignore', 'ignore', 'inherit'], env: { ...process.env, LOG_LEVEL: 'error' } },
+      { stdio: ['ignore', 'ignore', 'pipe'], env: { ...process.env, LOG_LEVEL: 'info' } },
     );
+    this.child.stderr?.on('data', (data: Buffer) => this.log.push(data.toString('utf8')));
     while ((await call(this.api, 'GET', '/healthz').catch(() => null))?.status !== 200) await pause(20);
     const { userMs, systemMs, rssMb } = this.held;
     console.log(
@@ -127,6 +133,15 @@
     );
   }
 
+  /** What it said of a term's first seconds; null: it has not led for so long. */
+  get steps(): string | null {
+    const line = this.log
+      .join('')
+      .split('\n')
+      .find((each) => each.includes('first 20 s of the term'));
+    return line === undefined ? null : JSON.stringify((JSON.parse(line) as { ms: unknown }).ms);
+  }
+
   /** What it spent since the last look, as a share of a core. */
   spent(seconds: number): string {
     const { userMs, systemMs, rssMb } = this.held;
@@ -224,7 +239,12 @@
     bySecond.push(standby.spent(1).split(' ')[0] ?? '');
   }
   console.log(`the standby, of a core by the second after the leader ended: ${bySecond.join(' ')}`);
+  await until('the steps', () => Promise.resolve(standby.steps), STEPS_LIMIT_MS).catch(() => null);
+  console.log(`the standby's first 20 s as leader, ms by step: ${standby.steps ?? 'not told'}`);
   await standby.end('of the standby');
+  console.log(
+    `two controllers' link: ${((await bytesOfPeerLink()) / 1024).toFixed(1)} KB of heap, both ends`,
+  );
   for (const worker of workers) worker.stop();
   cloud.close();
   state.stop();
--- /dev/null
+++ b/measure/peer-link.ts
@@ -0,0 +1,34 @@
+import { setFlagsFromString } from 'node:v8';
+import { runInNewContext } from 'node:vm';
+import { makeLog } from '../src/edge/log.js';
+import { Peers } from '../src/edge/peers.js';
+import { ownAddress } from '../test/standins/site.js';
+
+const STATUSES_MS = 3000;
+
+/** The heap that two controllers' link takes, both ends of both connections, after some seconds of statuses. */
+export async function bytesOfPeerLink(): Promise<number> {
+  setFlagsFromString('--expose-gc');
+  const collect = runInNewContext('gc') as () => void;
+  const used = (): number => {
+    collect();
+    collect();
+    return process.memoryUsage().heapUsed;
+  };
+  const log = makeLog('peer-link');
+  const addresses = [ownAddress(), ownAddress()] as const;
+  const link = (own: 0 | 1): Peers => {
+    const other = own === 0 ? 1 : 0;
+    const label = String(own);
+    const known = [{ label: String(other), endpoint: addresses[other] }];
+    return new Peers(addresses[own], known, () => ({ label, owner: false, contactMs: 0, token: 0n }), log);
+  };
+  const before = used();
+  const links = [link(0), link(1)];
+  const running = links.map((each) => each.start());
+  await new Promise((done) => setTimeout(done, STATUSES_MS));
+  const after = used();
+  if (!links.every((each) => each.othersServing() === 1)) throw new Error('the controllers did not link');
+  for (const each of running) each.unsubscribe();
+  return after - before;
+}
--- /dev/null
+++ b/src/edge/term-profile.ts
@@ -0,0 +1,61 @@
+import type { Event } from '../core/owner.js';
+import type { Log } from './log.js';
+
+/** What the beginning of a term is spent on, step by step. */
+export type TermStep =
+  'loading' | 'reports' | 'passes' | 'direct calls' | 'commits' | 'machine list' | 'ticks';
+
+const STEPS: Record<Event['kind'], TermStep> = {
+  job: 'loading',
+  ended: 'loading',
+  page: 'loading',
+  loaded: 'loading',
+  images: 'loading',
+  report: 'reports',
+  direct: 'direct calls',
+  settled: 'commits',
+  contact: 'ticks',
+  raised: 'ticks',
+  tick: 'ticks',
+  types: 'machine list',
+  list: 'machine list',
+  renting: 'machine list',
+  rented: 'machine list',
+  returned: 'machine list',
+};
+
+/** The first part of a term, in which all that a takeover brings is done. */
+const PROFILED = 20_000_000_000n;
+
+/** The step to which an event belongs. */
+export const stepOf = (event: Event): TermStep => STEPS[event.kind];
+
+/** Adds up what each step of a term's first seconds took, and tells it once in the log. */
+export class TermProfile {
+  private readonly spent = new Map<TermStep, bigint>();
+  private told = false;
+
+  constructor(
+    private readonly began: bigint,
+    private readonly log: Log,
+  ) {}
+
+  /** Still adding up: afterwards nothing need be measured. */
+  get active(): boolean {
+    return !this.told;
+  }
+
+  add(step: TermStep, span: bigint): void {
+    this.spent.set(step, (this.spent.get(step) ?? 0n) + span);
+  }
+
+  /** Tells the sums once the time is over. */
+  tellWhenOver(now: bigint): void {
+    if (this.told || now - this.began < PROFILED) return;
+    this.told = true;
+    const steps = [...this.spent].sort(([, a], [, b]) => (a < b ? 1 : -1));
+    const ms = Object.fromEntries(steps.map(([step, span]) => [step, Math.round(Number(span) / 1e6)]));
+    this.log.info({ ms }, 'what the first 20 s of the term took, by step');
+    this.spent.clear();
+  }
+}
--- a/src/edge/term.ts
+++ b/src/edge/term.ts
@@ -12,6 +12,7 @@
 import { StateContact } from './state-contact.js';
 import type { Change, Entry } from './store.js';
 import type { TermContext, TermDependencies } from './term-context.js';
+import { TermProfile, stepOf } from './term-profile.js';
 import { Workers } from './workers.js';
 
 const TICK_MS = 100;
@@ -27,6 +28,7 @@
   private readonly commits: CommitLoop;
   private readonly contact: StateContact;
   private readonly polling: CloudPolling;
+  private readonly profile: TermProfile;
   private rentals = 0;
   private over = false;
   private tickedAt = steady();
@@ -49,6 +51,7 @@
       contact: claimed,
       othersQuiet: othersQuietFrom(dependencies.facts, t.steady),
     });
+    this.profile = new TermProfile(t.steady, dependencies.log);
     const context: TermContext = {
       dependencies,
       owner: this.owner,
@@ -118,7 +121,10 @@
     if (this.over || !mayAnswer(this.dependencies.facts, this.owner.state.contact, steady())) return null;
     this.event({ kind: 'report', report: report });
     if (this.isOver()) return null;
-    return { token: this.token, orders: this.owner.answer(report, now()) };
+    const began = now();
+    const orders = this.owner.answer(report, began);
+    if (this.profile.active) this.profile.add('reports', steady() - began.steady);
+    return { token: this.token, orders };
   }
 
   private loadJob(id: string, { value, stamp }: Entry): void {
@@ -150,6 +156,7 @@
     this.tickedAt = t;
     this.owner.ranLate(late > 0n ? late : 0n);
     this.event({ kind: 'tick' });
+    this.profile.tellWhenOver(t);
   }
 
   private event(event: Event): void {
@@ -157,7 +164,12 @@
     const passed = this.owner.state.passedAt;
     const began = now();
     const effects = this.owner.handle(event, began);
-    if (this.owner.state.passedAt !== passed) this.owner.passTook(steady() - began.steady);
+    const hasPassed = this.owner.state.passedAt !== passed;
+    if (hasPassed || this.profile.active) {
+      const took = steady() - began.steady;
+      if (hasPassed) this.owner.passTook(took);
+      if (this.profile.active) this.profile.add(hasPassed ? 'passes' : stepOf(event), took);
+    }
     for (const effect of effects) this.carryOut(effect);
     if (this.owner.state.dirty.size > 0 || this.owner.state.dirtyJobs.size > 0) this.commits.wake();
   }
