Machines are kept for the scarcest resource of the fleet

What is in use was counted by the scarcest resource on each machine, so that a machine full of work without GPUs and one with its GPUs taken came to two, and the reserve paid for the leftovers too. Now each resource is added up over the fleet and the largest sum counts.

--- a/src/core/fleet-size.ts
+++ b/src/core/fleet-size.ts
@@ -17,35 +17,57 @@
  * ever be empty and all would be paid for.
  */
 export function closeSome(state: ClusterState, blocked: readonly Job[], now: Now): void {
-  const rows: { m: Machine; used: number; held: number; price: number }[] = [];
-  let inUse = 0;
+  const rows: { machine: Machine; used: number; held: number; price: number }[] = [];
+  const inUse = new MachinesInUse();
   for (const machine of state.machines.values()) {
     const type = state.types.get(machine.type);
     if (type === undefined || !isUsable(state, machine, now.steady)) continue;
-    const r = freeOn(state, machine);
-    const used = shareTaken(type, r);
-    inUse += used;
+    const free = freeOn(state, machine);
+    inUse.add(type, free);
     rows.push({
-      m: machine,
-      used,
+      machine,
+      used: shareTaken(type, free),
       held: heldFor(state, machine, now),
       price: machine.spot ? type.spotPrice : type.price,
     });
   }
   rows.sort(
-    (a, b) => b.held - a.held || a.price - b.price || b.used - a.used || (a.m.name < b.m.name ? -1 : 1),
+    (a, b) =>
+      b.held - a.held || a.price - b.price || b.used - a.used || (a.machine.name < b.machine.name ? -1 : 1),
   );
 
-  const want = inUse + Math.max(spareFor(inUse, state.settings.reserve), 1);
+  const needed = inUse.count;
+  const want = needed + Math.max(spareFor(needed, state.settings.reserve), 1);
   // Only work that lacks room is a reason to keep machines: one job that waits for something else kept a whole fleet.
   const short = blocked.some((job) => lacksRoom(job));
   let kept = 0;
   for (const row of rows) {
-    row.m.closed = !short && kept >= want;
+    row.machine.closed = !short && kept >= want;
     kept += 1;
   }
 }
 
+/**
+ * How many whole machines the work in use comes to, by the resource that is scarcest in the fleet. Counted by what is
+ * scarcest on each machine, a machine full of work without GPUs and one with all its GPUs taken came to two, though
+ * the work of both fits one and a bit: the reserve then paid for the leftovers too.
+ */
+class MachinesInUse {
+  private cpus = 0;
+  private gpus = 0;
+  private memory = 0;
+
+  add(type: MachineType, free: Readonly<Free>): void {
+    this.cpus += 1 - free.cpus / type.cpus;
+    this.gpus += type.gpus > 0 ? 1 - free.gpus / type.gpus : 0;
+    this.memory += 1 - free.memory / type.memory;
+  }
+
+  get count(): number {
+    return Math.max(this.cpus, this.gpus, this.memory);
+  }
+}
+
 const lacksRoom = (job: Job): boolean =>
   job.waitReason === NO_ROOM || job.waitReason === NO_ROOM_FOR_ALL || job.waitReason === ROOM_IS_MADE;
 
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { forecastDemand } from '../src/core/demand-forecast.js';
+import type { Spec } from '../src/core/model.js';
 import { Owner } from '../src/core/owner.js';
 import { placementPassGap } from '../src/core/placement-pass.js';
 import { seconds, toSeconds, type Now } from '../src/core/time.js';
@@ -104,3 +105,38 @@
   for (let n = 0; n < 60; n++) owner.passTook(0n);
   assert.ok(placementPassGap(owner.state) < seconds(0.001));
 });
+
+// Of work without GPUs on some machines and work that takes all GPUs of others, much fits together: room for what comes
+// is kept for what the work needs of the scarcest resource, not for every machine on which something is scarce.
+test('machines are kept for the scarcest resource of the fleet, and the others closed', () => {
+  const wall = new Date(Date.UTC(2030, 0, 1));
+  const at = (s: number): Now => ({ steady: seconds(1000 + s), wall: new Date(wall.getTime() + s * 1000) });
+  const term = { token: 1, began: at(0).steady, contact: at(0).steady, othersQuiet: at(0).steady };
+  const owner = new Owner(FACTS, DEFAULT_SETTINGS, term);
+  owner.handle({ kind: 'types', types: [TYPE] }, at(0));
+  for (let n = 0; n < 8; n++) {
+    const about = { machine: `m${n}`, endpoint: `m${n}:1`, type: 'big', zone: 'east', spot: false };
+    const report = { ...about, session: 1, seq: 1, token: 1, notice: null, tasks: [] };
+    owner.handle({ kind: 'report', report }, at(0));
+  }
+  const whole = { tasks: 4, priority: 'low' as const };
+  const submit = (id: string, over: Partial<Spec>): void => {
+    const record = {
+      spec: spec(id, { ...whole, ...over }),
+      submitted: at(0).wall,
+      standing: 'open' as const,
+    };
+    owner.handle({ kind: 'job', id, record, stamp: 2 }, at(0));
+  };
+  submit('req-1', { cpus: 8, gpus: 0, memory: 1 });
+  submit('req-2', { cpus: 0.5, gpus: 2, memory: 1 });
+  owner.handle({ kind: 'contact', at: at(3).steady }, at(3));
+  owner.handle({ kind: 'tick' }, at(3));
+  const machines = [...owner.state.machines.values()];
+  assert.ok(
+    machines.every((machine) => machine.intents.size === 1),
+    'each is in use',
+  );
+  // Four machines' worth and the reserve of a third, and not eight.
+  assert.equal(machines.filter((machine) => machine.closed).length, 2);
+});
