--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -26,7 +26,7 @@
     },
   },
   {
-    files: ['src/**/*.ts'],
+    files: ['src/**/*.ts', 'packages/*/src/**/*.ts'],
     plugins: { jsdoc },
     rules: {
       'jsdoc/require-jsdoc': [
@@ -51,7 +51,7 @@
     },
   },
   {
-    files: ['src/core/**/*.ts'],
+    files: ['src/core/**/*.ts', 'packages/zone-recovery/src/**/*.ts'],
     rules: {
       // The core takes what happened and when; it must reach no clock, file or socket by itself.
       'no-restricted-imports': ['error', { patterns: ['node:*', 'rxjs*', 'express', 'pino', '../edge/*'] }],
--- /dev/null
+++ b/packages/zone-recovery/test/zone-health.test.ts
@@ -0,0 +1,279 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import * as fc from 'fast-check';
+import type { ZoneObservation, ZoneRequest } from '../../../src/core/zone-policy.js';
+import { seconds, type Now } from '../../../src/core/time.js';
+import {
+  holdDown,
+  LONGEST_HOLD,
+  newZone,
+  nextHealth,
+  readZones,
+  writeZones,
+  ZoneRecovery,
+  type Surroundings,
+  type ZoneHealth,
+} from '../src/index.js';
+
+/** Sequences of losses, partial returns, flaps and takeovers. The seed is fixed, so that every run judges the same. */
+const RUNS = { seed: 20300101, numRuns: Number(process.env['ZONE_RUNS'] ?? 300) };
+const TIMING = { lease: seconds(24), report: seconds(4) };
+const MACHINES = 40;
+
+const at = (s: number): Now => ({
+  steady: seconds(1000 + s),
+  wall: new Date(Date.UTC(2030, 0, 1) + s * 1000),
+});
+
+const names = (zone: string, count: number): string[] =>
+  Array.from({ length: count }, (_, n) => `${zone}-${String(n).padStart(4, '0')}`);
+
+const seenIn = (zone: string, heard: number, known = MACHINES): ZoneObservation => ({
+  zone,
+  known,
+  heard,
+  gpus: heard * 4,
+  names: names(zone, heard),
+});
+
+const AROUND: Surroundings = {
+  othersHeard: true,
+  inContact: true,
+  replicasMissing: 0,
+  startTakes: seconds(10),
+};
+
+/** A stretch of a zone's life. */
+const second = fc.record({
+  heard: fc.constantFrom(0, 0, 0, 1, 10, 19, 25, 39, 40, 40, 40),
+  othersHeard: fc.boolean(),
+  inContact: fc.constantFrom(true, true, true, false),
+  replicasMissing: fc.constantFrom(0, 0, 3),
+  lasts: fc.integer({ min: 1, max: 60 }),
+  takeover: fc.constantFrom(false, false, false, true),
+  driftMs: fc.integer({ min: -20, max: 20 }),
+});
+
+interface Lived {
+  readonly before: ZoneHealth;
+  readonly after: ZoneHealth;
+  readonly around: Surroundings;
+  readonly heard: number;
+  readonly s: number;
+}
+
+type Stretch = typeof second extends fc.Arbitrary<infer T> ? T : never;
+
+/** Plays a life second by second; the state goes through its kept record at each takeover. */
+function live(life: readonly Stretch[], check: (step: Lived) => void): ZoneHealth {
+  let health = newZone(at(0).steady);
+  let s = 0;
+  for (const each of life) {
+    for (let n = 0; n < each.lasts; n++) {
+      s += 1;
+      const around = { ...AROUND, ...each };
+      const before = health;
+      health = nextHealth(before, seenIn('a', each.heard), around, TIMING, at(s).steady).health;
+      check({ before, after: health, around, heard: each.heard, s });
+    }
+    if (!each.takeover) continue;
+    const kept = writeZones(new Map([['a', health]]), at(s));
+    const by = { steady: at(s).steady, wall: new Date(at(s).wall.getTime() + each.driftMs) };
+    health = readZones(JSON.parse(JSON.stringify(kept)), by)?.get('a') ?? newZone(at(s).steady);
+  }
+  return health;
+}
+
+test('who is cut off concludes nothing, and a zone is suspected only while another is heard', () => {
+  fc.assert(
+    fc.property(fc.array(second, { maxLength: 20 }), (life) => {
+      live(life, ({ before, after, around }) => {
+        if (!around.inContact) assert.deepEqual(after, before);
+        if (!around.othersHeard)
+          assert.ok(after.phase === before.phase || !['suspect', 'lost'].includes(after.phase));
+      });
+    }),
+    RUNS,
+  );
+});
+
+test('a healthy zone is lost only after a whole lease of suspicion', () => {
+  fc.assert(
+    fc.property(fc.array(second, { maxLength: 20 }), (life) => {
+      let suspectSince = 0;
+      live(life, ({ before, after, s }) => {
+        if (before.phase !== 'suspect' && after.phase === 'suspect') suspectSince = s;
+        if (before.phase === 'suspect' && after.phase === 'lost')
+          assert.ok(s - suspectSince >= 24, `${s - suspectSince} s`);
+        if (before.phase === 'healthy') assert.notEqual(after.phase, 'lost');
+      });
+    }),
+    RUNS,
+  );
+});
+
+// However often it flapped, and whatever leader comes: capacity is not shut out for good.
+test('a zone that stays heard is healthy again within bounded time', () => {
+  const steps = Math.ceil(Math.log2(MACHINES)) + 3;
+  const bound = Number(LONGEST_HOLD / seconds(1)) + steps * 2 * 24 + 5;
+  fc.assert(
+    fc.property(fc.array(second, { maxLength: 20 }), fc.constantFrom(0, 5), (life, replicasMissing) => {
+      let health = live(life, () => undefined);
+      for (let s = 0; s < bound; s++)
+        health = nextHealth(
+          health,
+          seenIn('a', MACHINES),
+          { ...AROUND, replicasMissing },
+          TIMING,
+          at(2000 + s).steady,
+        ).health;
+      assert.equal(health.phase, 'healthy');
+    }),
+    RUNS,
+  );
+});
+
+test('hold-downs grow with each loss up to the longest, and decay with health', () => {
+  const spans = [1, 2, 3, 4, 5, 9, 40].map((losses) => Number(holdDown(losses, TIMING) / seconds(1)));
+  assert.deepEqual(spans, [0, 24, 48, 96, 120, 120, 120]);
+  let health: ZoneHealth = { ...newZone(at(0).steady), losses: 2 };
+  for (let s = 0; s < 288; s++)
+    health = nextHealth(health, seenIn('a', 40), AROUND, TIMING, at(s).steady).health;
+  assert.equal(health.losses, 2);
+  for (let s = 288; s < 580; s++)
+    health = nextHealth(health, seenIn('a', 40), AROUND, TIMING, at(s).steady).health;
+  assert.equal(health.losses, 0);
+});
+
+test('a takeover neither shortens nor lengthens what is kept by more than clocks drift, and no longer than the longest', () => {
+  fc.assert(
+    fc.property(fc.integer({ min: -3600, max: 3600 }), fc.integer({ min: 0, max: 120 }), (driftS, holdS) => {
+      const health: ZoneHealth = {
+        ...newZone(at(0).steady),
+        phase: 'held-down',
+        losses: 3,
+        holdUntil: at(holdS).steady,
+      };
+      const by = { steady: at(0).steady, wall: new Date(at(0).wall.getTime() + driftS * 1000) };
+      const read = readZones(writeZones(new Map([['a', health]]), at(0)), by)?.get('a');
+      assert.ok(read !== undefined);
+      assert.deepEqual([read.phase, read.losses], ['held-down', 3]);
+      const left = read.holdUntil - by.steady;
+      assert.ok(left >= 0n && left <= LONGEST_HOLD);
+      if (Math.abs(driftS) < 1) assert.equal(left, seconds(holdS));
+    }),
+    RUNS,
+  );
+});
+
+test('what is kept is small, and what cannot be read means a fresh start', () => {
+  const zones = new Map(
+    ['alpharetta', 'augusta', 'midtown'].map((zone) => [
+      zone,
+      { ...newZone(0n), phase: 'lost' as const, losses: 99 },
+    ]),
+  );
+  assert.ok(JSON.stringify(writeZones(zones, at(0))).length < 512);
+  for (const bad of [
+    null,
+    7,
+    'x',
+    {},
+    { version: 2, zones: [] },
+    { version: 1, zones: [{ zone: 'a', phase: 'odd' }] },
+  ])
+    assert.equal(readZones(bad, at(0)), null, JSON.stringify(bad));
+  const recovery = new ZoneRecovery(TIMING);
+  recovery.restore({ zones: 'cut sho' }, at(0));
+  assert.equal(recovery.phaseOf('a'), 'healthy');
+});
+
+const REQUEST: ZoneRequest = { kind: 'array', priority: 'low', bound: false, waited: 0n };
+
+/** Lets a recovery see zone a with so many machines for a while, beside a healthy zone b. */
+function watch(
+  recovery: ZoneRecovery,
+  from: number,
+  forS: number,
+  heard: number,
+  replicasMissing = 0,
+): number {
+  for (let s = from; s < from + forS; s++)
+    recovery.observe(
+      {
+        zones: [seenIn('a', heard), seenIn('b', MACHINES)],
+        inContact: true,
+        replicasMissing,
+        startTakes: seconds(10),
+      },
+      at(s),
+    );
+  return from + forS;
+}
+
+const admitted = (recovery: ZoneRecovery, request: ZoneRequest): number =>
+  names('a', MACHINES).filter((name) => recovery.admits('a', name, request)).length;
+
+test('a zone comes back in steps: services at once, other work on twice as many machines each step', () => {
+  const recovery = new ZoneRecovery(TIMING);
+  let s = watch(recovery, 0, 5, MACHINES);
+  s = watch(recovery, s, 40, 0);
+  assert.equal(recovery.phaseOf('a'), 'lost');
+  assert.ok(recovery.isOut('a') && recovery.isEvacuated('a'));
+  assert.equal(admitted(recovery, { ...REQUEST, kind: 'service' }), 0);
+  s = watch(recovery, s, 1, MACHINES);
+  assert.equal(recovery.phaseOf('a'), 'returning');
+  assert.equal(admitted(recovery, { ...REQUEST, kind: 'service', priority: 'production' }), MACHINES);
+  const seen: number[] = [];
+  for (let n = 0; n < 4; n++) {
+    seen.push(admitted(recovery, REQUEST));
+    s = watch(recovery, s, 10, MACHINES);
+  }
+  assert.deepEqual(seen, [4, 8, 16, 32]);
+  assert.equal(
+    admitted(recovery, { ...REQUEST, waited: seconds(150) }),
+    MACHINES,
+    'the largest still begin in time',
+  );
+  watch(recovery, s, 22, MACHINES);
+  assert.equal(recovery.phaseOf('a'), 'healthy');
+});
+
+test('while replicas are missing, steps wait for two leases', () => {
+  const recovery = new ZoneRecovery(TIMING);
+  let s = watch(recovery, 0, 40, 0);
+  s = watch(recovery, s, 47, MACHINES, 2);
+  assert.equal(admitted(recovery, REQUEST), 4);
+  watch(recovery, s, 5, MACHINES, 2);
+  assert.equal(admitted(recovery, REQUEST), 8);
+});
+
+test('a zone that flaps is held down before it returns, and comes back with what it has', () => {
+  const recovery = new ZoneRecovery(TIMING);
+  let s = watch(recovery, 0, 40, 0);
+  s = watch(recovery, s, 10, MACHINES);
+  s = watch(recovery, s, 5, 0);
+  assert.equal(recovery.phaseOf('a'), 'lost', 'at once: it was returning');
+  s = watch(recovery, s, 1, 20);
+  assert.equal(recovery.phaseOf('a'), 'held-down');
+  assert.ok(recovery.isOut('a'));
+  assert.equal(admitted(recovery, { ...REQUEST, kind: 'service' }), 0);
+  s = watch(recovery, s, 25, 25);
+  assert.equal(recovery.phaseOf('a'), 'returning');
+  watch(recovery, s, 60, 25);
+  assert.equal(recovery.phaseOf('a'), 'healthy', 'with 25 of 40 machines');
+});
+
+test('a change is kept once, and the next owner goes on from it', () => {
+  const recovery = new ZoneRecovery(TIMING);
+  watch(recovery, 0, 3, MACHINES);
+  assert.equal(recovery.takeRecord(), null, 'nothing to keep while all is well');
+  watch(recovery, 3, 40, 0);
+  const record = recovery.takeRecord();
+  assert.ok(record !== null);
+  assert.equal(recovery.takeRecord(), null);
+  const next = new ZoneRecovery(TIMING);
+  next.restore(record, at(50));
+  assert.equal(next.phaseOf('a'), 'lost');
+  assert.equal(next.takeRecord(), null, 'what was read need not be written');
+});
--- a/src/core/cluster-state.ts
+++ b/src/core/cluster-state.ts
@@ -1,6 +1,7 @@
 import { DependencyGraph } from './dependency-graph.js';
 import type { Facts, Intent, Job, OperatorSettings, Machine, MachineType, Page } from './model.js';
 import { Quota } from './quota.js';
+import type { ZonePolicy } from './zone-policy.js';
 import { seconds, type Span, type Steady } from './time.js';
 
 /** What a worker is told to do with one attempt of a task. */
@@ -33,6 +34,8 @@
   | { readonly kind: 'raise'; readonly why: string }
   | { readonly kind: 'deposed'; readonly token: number }
   | { readonly kind: 'abdicate'; readonly why: string }
+  /** What the next owner must know of zones. */
+  | { readonly kind: 'keep zones'; readonly record: unknown }
   | {
       readonly kind: 'note';
       readonly level: 'info' | 'debug';
@@ -54,6 +57,8 @@
   readonly machines: Map<string, Machine>;
   readonly types: Map<string, MachineType>;
   readonly quota: Quota;
+  /** Decides about zones that are lost or come back; null: the feature is off. */
+  readonly zonePolicy: ZonePolicy | null;
   /** Token now in force and the one with which this term began. */
   token: number;
   readonly firstToken: number;
@@ -149,7 +154,12 @@
 }
 
 /** The state at the beginning of a term, before anything is read. */
-export function newClusterState(facts: Facts, settings: OperatorSettings, term: Term): ClusterState {
+export function newClusterState(
+  facts: Facts,
+  settings: OperatorSettings,
+  term: Term,
+  zonePolicy: ZonePolicy | null = null,
+): ClusterState {
   return {
     facts,
     settings,
@@ -157,6 +167,7 @@
     machines: new Map(),
     types: new Map(),
     quota: new Quota(facts.teams),
+    zonePolicy,
     token: term.token,
     firstToken: term.token,
     began: term.began,
--- a/src/core/fleet-size.ts
+++ b/src/core/fleet-size.ts
@@ -8,6 +8,7 @@
 import { estimateOf } from './urgency.js';
 import type { Free } from './placement.js';
 import { type Now, seconds, toSeconds } from './time.js';
+import { isZoneOut } from './zones.js';
 
 const LEAST_CHARGE = seconds(60);
 
@@ -132,7 +133,8 @@
 const RETURN_AT_ONCE = 100;
 
 function idleBecause(state: ClusterState, machine: Machine, now: Now): string | null {
-  if (machine.session === 0) return null;
+  // Machines of a zone that is held down stand idle for the policy's sake: work is to come back to them.
+  if (machine.session === 0 || isZoneOut(state, machine.zone)) return null;
   machine.idleSince ??= now.steady;
   // A machine costs at least its first minute: until then it may as well stay.
   const due =
--- a/src/core/owner.ts
+++ b/src/core/owner.ts
@@ -29,6 +29,8 @@
 import { placementPass, placementPassGap } from './placement-pass.js';
 import { actOnNotices, isDeaf, probeDeaf, returnSilent } from './failure-detector.js';
 import { seconds, type Now, type Span, type Steady } from './time.js';
+import type { ZonePolicy } from './zone-policy.js';
+import { displacedReplicas, watchZones } from './zones.js';
 import {
   newClusterState,
   emitLog,
@@ -91,8 +93,8 @@
   private sweptAt: Steady = 0n;
   private lookedAt: Steady = 0n;
 
-  constructor(facts: Facts, settings: OperatorSettings, term: Term) {
-    this.state = newClusterState(facts, settings, term);
+  constructor(facts: Facts, settings: OperatorSettings, term: Term, zonePolicy: ZonePolicy | null = null) {
+    this.state = newClusterState(facts, settings, term, zonePolicy);
   }
 
   handle(event: Event, now: Now): Effect[] {
@@ -240,6 +242,7 @@
       state.needPass = state.needPass || state.waiting.size > 0;
       releaseClosedJobs(state, now.steady);
       reportMissedDeadlines(state, now);
+      watchZones(state, now);
     }
   }
 
@@ -247,7 +250,7 @@
     const state = this.state;
     const blocked = placementPass(state, now);
     closeSome(state, blocked, now);
-    for (const order of rentals(state, blocked, now)) {
+    for (const order of rentals(state, [...displacedJobs(state, now), ...blocked], now)) {
       logRent(state, order);
       state.effects.push({ kind: 'rent', order });
     }
@@ -342,3 +345,7 @@
     return out;
   }
 }
+
+/** Replicas that may have to start elsewhere, as work that lacks room: machines for them are rented before it is certain. */
+const displacedJobs = (state: ClusterState, now: Now): Job[] =>
+  displacedReplicas(state, now).map(({ job, tasks }) => ({ ...job, free: new Set(tasks) }));
--- a/src/core/placement-pass.ts
+++ b/src/core/placement-pass.ts
@@ -20,6 +20,7 @@
 import { chooseStarved } from './starved-gangs.js';
 import { LEFT_WHOLE, leaveWhole, openFirst, retryable, someNeedWhole, spreadOut, steer } from './steering.js';
 import { type Now, type Span, seconds, toSeconds } from './time.js';
+import { keepRoomForDisplaced, zoneAdmits } from './zones.js';
 import { isHurried, isPatient, waitedSeconds, wantedBy } from './urgency.js';
 
 /** Why a job waits: no machine has room for a task. */
@@ -117,6 +118,7 @@
   }
   chooseStarved(state, now);
   const board = newBoard(state, listCandidates(state, now));
+  keepRoomForDisplaced(state, board.open, now);
   const blocked: Job[] = [];
   for (const job of waitingInOrder(state, now)) {
     const before = job.free.size;
@@ -155,14 +157,15 @@
 }
 
 /** The machines with room for a task of the job; none if a job that asks no more found none in this pass. */
-function fittingFor(board: Board, job: Job): Candidate[] {
+function fittingFor(state: ClusterState, board: Board, job: Job, now: Now): Candidate[] {
   if (board.full.some((s) => asksAtLeast(job.spec, s))) return [];
   const list: Candidate[] = [];
   let any = false;
   for (const candidate of board.open) {
     if (!fitsIn(job.spec, candidate.r) || !machineAllowed(job.spec, candidate.machine)) continue;
     any = true;
-    if (fitsIn(job.spec, candidate.room)) list.push(candidate);
+    if (fitsIn(job.spec, candidate.room) && zoneAdmits(state, job, candidate.machine, now))
+      list.push(candidate);
   }
   if (!any) board.full.push(job.spec);
   return list;
@@ -173,7 +176,7 @@
     job.waitReason = 'team limit';
     return;
   }
-  const fitting = fittingFor(board, job);
+  const fitting = fittingFor(state, board, job, now);
   if (fitting.length > 0 && board.open.length >= LEFT_WHOLE * 8 && isPatient(state, job, now))
     leaveWhole(fitting, board.open);
   if (fitting.length === 0) {
@@ -230,7 +233,7 @@
     job.waitReason = 'team limit';
     return;
   }
-  const fitting = fittingFor(board, job);
+  const fitting = fittingFor(state, board, job, now);
   const kept = fitting.filter((candidate) => !candidate.machine.closed);
   const placed =
     placeGang(state, job, kept, now.steady, steer) ??
--- a/src/core/preemption.ts
+++ b/src/core/preemption.ts
@@ -15,6 +15,7 @@
 import { holdTogether } from './starved-gangs.js';
 import { waitedSeconds } from './urgency.js';
 import { type Now, seconds, toSeconds } from './time.js';
+import { zoneAdmits } from './zones.js';
 
 /** What one pass knows of the machines. */
 export interface Board {
@@ -101,6 +102,7 @@
     (candidate) =>
       (own > (board.lowest.get(candidate.machine) ?? Infinity) || fitsIn(job.spec, candidate.room)) &&
       machineAllowed(job.spec, candidate.machine) &&
+      zoneAdmits(state, job, candidate.machine, now) &&
       !job.failedOn.has(candidate.machine.name) &&
       (!cachedOnly || (candidate.machine.images.has(job.spec.image) && !holdsOf(candidate.machine, job))),
   );
--- a/src/core/rentals.ts
+++ b/src/core/rentals.ts
@@ -8,6 +8,7 @@
 import { estimateOf, wantedBy } from './urgency.js';
 import { type Free, fitsIn, zoneAllowed } from './placement.js';
 import { type Now, seconds, toSeconds } from './time.js';
+import { isZoneOut } from './zones.js';
 
 /** Share of the time left that an array task may spend waiting for another's place: fetches and late ends need the rest. */
 const PATIENCE = 0.3;
@@ -206,7 +207,7 @@
 function expectedSlots(state: ClusterState, now: Now): Slot[] {
   const slots: Slot[] = [];
   for (const machine of state.machines.values()) {
-    if (!isUsable(state, machine, now.steady)) continue;
+    if (!isUsable(state, machine, now.steady) || isZoneOut(state, machine.zone)) continue;
     const r = { ...viewOf(state, machine).room };
     slots.push({ type: machine.type, zone: machine.zone, spot: machine.spot, r, fresh: false });
   }
@@ -239,7 +240,7 @@
   for (const type of types) {
     if (!fitsIn(job.spec, whole(type))) continue;
     for (const zone of type.zones) {
-      if (!zoneAllowed(job, zone, taken)) continue;
+      if (!zoneAllowed(job, zone, taken) || isZoneOut(state, zone)) continue;
       for (const spot of job.spec.spot ? [true, false] : [false]) {
         const refused = state.refused.get(slotKey({ type: type.name, zone, spot }));
         if (refused !== undefined && now.steady - refused < seconds(20)) continue;
--- a/src/core/starved-gangs.ts
+++ b/src/core/starved-gangs.ts
@@ -5,6 +5,7 @@
 import { type Candidate, machineAllowed } from './placement.js';
 import { type Board, type Offer, book, zonesOf } from './preemption.js';
 import { type Now, toSeconds } from './time.js';
+import { zoneAdmits } from './zones.js';
 
 /**
  * Seconds after which free room is kept together for a gang, after which machines are emptied for it, and after which
@@ -52,7 +53,10 @@
   if (starved === null && (state.holding !== null || waitedSeconds(job, now) < HOLD_AFTER_S)) return;
   state.holding ??= job.spec.id;
   const open = board.open.filter(
-    (candidate) => machineAllowed(job.spec, candidate.machine) && !job.failedOn.has(candidate.machine.name),
+    (candidate) =>
+      machineAllowed(job.spec, candidate.machine) &&
+      zoneAdmits(state, job, candidate.machine, now) &&
+      !job.failedOn.has(candidate.machine.name),
   );
   let best: Plan | null = null;
   for (const zone of zonesOf(job, open)) {
--- a/src/edge/operator-settings.ts
+++ b/src/edge/operator-settings.ts
@@ -1,8 +1,8 @@
 import { readFileSync } from 'node:fs';
-import { parse, type Node } from 'sexpr-plus';
 import type { OperatorSettings } from '../core/model.js';
 import { seconds, toSeconds } from '../core/time.js';
 import { SettingsError } from './settings.js';
+import { atomOf, failAt, listOf, readForms } from './sexpr.js';
 
 /** The operators' own settings: S-expressions such as `(placement (alpha 0.25) (lambda 0.5))`, with checked ranges. */
 interface Range {
@@ -63,35 +63,20 @@
 /** Reads operators' settings from text; a mistake is a SettingsError with its line. */
 export function parseOperatorSettings(text: string, name: string): OperatorSettings {
   const settings: Mutable<OperatorSettings> = { ...DEFAULT_SETTINGS };
-  let forms: Node[];
-  try {
-    forms = parse(text);
-  } catch (e) {
-    throw new SettingsError(`${name}: ${e instanceof Error ? e.message : String(e)}`);
-  }
-  const fail = (node: Node, why: string): never => {
-    throw new SettingsError(`${name}:${node.location.start.line}: ${why}`);
-  };
-  const listOf = (node: Node): Node[] =>
-    node.type === 'list' ? node.content : fail(node, 'expected a list');
-  const atomOf = (node: Node | undefined, at: Node): string =>
-    node !== undefined && node.type === 'atom'
-      ? node.content
-      : fail(node ?? at, 'expected a name or a number');
-  for (const form of forms) {
-    const [head, ...entries] = listOf(form);
-    const group = atomOf(head, form);
+  for (const form of readForms(text, name)) {
+    const [head, ...entries] = listOf(form, name);
+    const group = atomOf(head, form, name);
     const known =
       SETTING_RANGES[group] ??
-      fail(form, `unknown group "${group}" (known: ${Object.keys(SETTING_RANGES).join(', ')})`);
+      failAt(form, name, `unknown group "${group}" (known: ${Object.keys(SETTING_RANGES).join(', ')})`);
     for (const entry of entries) {
-      const parts = listOf(entry);
-      const key = atomOf(parts[0], entry);
-      const range = known[key] ?? fail(entry, `unknown setting "${key}" in ${group}`);
-      const value = Number(atomOf(parts[1], entry));
-      if (parts.length !== 2 || !Number.isFinite(value)) fail(entry, `${key} takes one number`);
+      const parts = listOf(entry, name);
+      const key = atomOf(parts[0], entry, name);
+      const range = known[key] ?? failAt(entry, name, `unknown setting "${key}" in ${group}`);
+      const value = Number(atomOf(parts[1], entry, name));
+      if (parts.length !== 2 || !Number.isFinite(value)) failAt(entry, name, `${key} takes one number`);
       if (value < range.low || value > range.high)
-        fail(entry, `${key} must be from ${range.low} to ${range.high}`);
+        failAt(entry, name, `${key} must be from ${range.low} to ${range.high}`);
       range.set(settings, value);
     }
   }
--- a/src/edge/ownership.ts
+++ b/src/edge/ownership.ts
@@ -1,17 +1,19 @@
 import type { Subscription } from 'rxjs';
-import type { Facts, OperatorSettings } from '../core/model.js';
 import { toSeconds } from '../core/time.js';
 import { partKey, readPart, type PartRecord } from '../wire/records.js';
 import { steady } from './clock.js';
-import type { Cloud } from './cloud.js';
 import { WakeSignal } from './wake-signal.js';
 import { isAborted, supervise, messageOf } from './supervised-task.js';
-import type { DecodedPages } from './decoded-pages.js';
-import type { ImagesSeen } from './images.js';
 import { jittered } from './jitter.js';
-import type { Log } from './log.js';
-import type { Store } from './store.js';
 import { Term } from './term.js';
+import type { TermDependencies } from './term-context.js';
+
+/** What a controller needs to take a part. */
+export interface OwnershipDependencies extends Omit<TermDependencies, 'record' | 'onEnd' | 'onAbdicate'> {
+  readonly label: string;
+  /** Names this process, among all that ever had the label. */
+  readonly incarnation: string;
+}
 
 /** Takes a part when it is free, and says who has it. */
 export class Ownership {
@@ -20,21 +22,8 @@
   private restsUntil = 0n;
   private readonly record: PartRecord;
 
-  constructor(
-    private readonly part: string,
-    label: string,
-    incarnation: string,
-    private readonly facts: Facts,
-    private readonly settings: OperatorSettings,
-    private readonly store: Store,
-    private readonly cloud: Cloud,
-    private readonly log: Log,
-    private readonly writeRps: number,
-    private readonly nextWriteRps: number,
-    private readonly images: ImagesSeen,
-    private readonly pages: DecodedPages,
-    private readonly directs: number,
-  ) {
+  constructor(private readonly dependencies: OwnershipDependencies) {
+    const { label, incarnation } = dependencies;
     this.record = { label, incarnation };
   }
 
@@ -44,15 +33,15 @@
 
   /** The label of the part's present owner, as far as the followed copy knows. */
   ownerLabel(): string | null {
-    const entry = this.store.copy.get(partKey(this.part));
+    const entry = this.dependencies.store.copy.get(partKey(this.dependencies.part));
     return entry === undefined ? null : readPart(entry.value).label;
   }
 
   start(): Subscription {
-    const routines = supervise('ownership', this.log, (signal) => this.run(signal));
+    const routines = supervise('ownership', this.dependencies.log, (signal) => this.run(signal));
     routines.add(
-      this.store.changes.subscribe((change) => {
-        if (change.key === partKey(this.part) && change.entry === null) this.wake.wake();
+      this.dependencies.store.changes.subscribe((change) => {
+        if (change.key === partKey(this.dependencies.part) && change.entry === null) this.wake.wake();
       }),
     );
     routines.add(() => this.current?.end('stopping'));
@@ -61,11 +50,11 @@
 
   private async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      if (this.current === null && this.store.loaded && steady() >= this.restsUntil) {
+      if (this.current === null && this.dependencies.store.loaded && steady() >= this.restsUntil) {
         try {
           await this.attempt(signal);
         } catch (e) {
-          this.log.warn({ error: messageOf(e) }, 'taking the part failed');
+          this.dependencies.log.warn({ error: messageOf(e) }, 'taking the part failed');
         }
       }
       await this.wake.wait(jittered(700), signal);
@@ -73,8 +62,8 @@
   }
 
   private async attempt(signal: AbortSignal): Promise<void> {
-    const key = partKey(this.part);
-    const known = this.store.copy.get(key);
+    const key = partKey(this.dependencies.part);
+    const known = this.dependencies.store.copy.get(key);
     if (known !== undefined) {
       const holder = readPart(known.value);
       // An earlier process under our own label has surely ended: there is one process per label at a time.
@@ -82,10 +71,10 @@
       if (holder.incarnation === this.record.incarnation) return;
     }
     const ttlMs = this.leaseMs();
-    const lease = await this.store.grantLease(ttlMs);
+    const lease = await this.dependencies.store.grantLease(ttlMs);
     if (lease === null || signal.aborted) return;
     const sent = steady();
-    const result = await this.store.commit(
+    const result = await this.dependencies.store.commit(
       [{ key, stamp: known?.stamp ?? 0 }],
       [{ write: key, value: this.record, permit: lease }],
     );
@@ -93,11 +82,11 @@
     if (isAborted(signal)) return;
     if (result.kind !== 'ok') {
       // Whatever became of it, the key must not stay with a lease that nobody renews.
-      await this.store.revokeLease(lease);
+      await this.dependencies.store.revokeLease(lease);
       return;
     }
-    if (!(await this.store.reached(result.rev, 5000))) {
-      await this.store.revokeLease(lease);
+    if (!(await this.dependencies.store.reached(result.rev, 5000))) {
+      await this.dependencies.store.revokeLease(lease);
       return;
     }
     if (isAborted(signal)) return;
@@ -107,24 +96,14 @@
   private begin(token: number, claimed: bigint, lease: number, ttlMs: number): void {
     const term = new Term(
       {
-        part: this.part,
+        ...this.dependencies,
         record: this.record,
-        facts: this.facts,
-        settings: this.settings,
-        store: this.store,
-        cloud: this.cloud,
-        log: this.log,
-        writeRps: this.writeRps,
-        nextWriteRps: this.nextWriteRps,
-        images: this.images,
-        pages: this.pages,
-        directs: this.directs,
         onAbdicate: () => {
           this.restsUntil = steady() + REST;
         },
         onEnd: () => {
           if (this.current === term) this.current = null;
-          this.store.followGapMs = FOLLOWER_GAP_MS;
+          this.dependencies.store.followGapMs = FOLLOWER_GAP_MS;
           this.wake.wake();
         },
       },
@@ -134,13 +113,13 @@
       ttlMs / 4,
     );
     this.current = term;
-    this.store.followGapMs = OWNER_GAP_MS;
+    this.dependencies.store.followGapMs = OWNER_GAP_MS;
     term.start();
   }
 
   /** Short enough for a takeover well before a worker's lease ends, long enough for a slow moment. */
   private leaseMs(): number {
-    return Math.round(Math.min(5, Math.max(2.5, toSeconds(this.facts.lease) / 4)) * 1000);
+    return Math.round(Math.min(5, Math.max(2.5, toSeconds(this.dependencies.facts.lease) / 4)) * 1000);
   }
 }
 
--- a/src/edge/service.ts
+++ b/src/edge/service.ts
@@ -7,6 +7,8 @@
 import { supervise, messageOf, pause } from './supervised-task.js';
 import { DecodedPages } from './decoded-pages.js';
 import { EndedJobs } from './ended-jobs.js';
+import { zonePolicyFor } from './feature-loader.js';
+import type { Features } from './features.js';
 import { ImagesSeen } from './images.js';
 import { isHealthy } from './health.js';
 import { jittered } from './jitter.js';
@@ -25,6 +27,7 @@
 export function startService(
   p: Platform,
   settings: OperatorSettings,
+  features: Features,
   log: Log,
   onFatal: (why: string) => void,
 ): Subscription {
@@ -43,21 +46,22 @@
   const incarnation = `${p.label}-${new Date().getTime()}-${steady()}`;
   const pages = new DecodedPages();
   const images = new ImagesSeen(store, log, pages, (): boolean => owner.term !== null);
-  const owner: Ownership = new Ownership(
-    PART,
-    p.label,
+  const owner: Ownership = new Ownership({
+    part: PART,
+    label: p.label,
     incarnation,
     facts,
     settings,
     store,
     cloud,
     log,
-    p.facts.state.write_rps,
-    p.facts.state.next?.write_rps ?? Infinity,
+    writeRps: p.facts.state.write_rps,
+    nextWriteRps: p.facts.state.next?.write_rps ?? Infinity,
     images,
     pages,
-    sockets.direct,
-  );
+    directs: sockets.direct,
+    newZonePolicy: zonePolicyFor(features, facts),
+  });
 
   const peers = new Peers(
     p.internal_addr,
--- a/src/edge/term-context.ts
+++ b/src/edge/term-context.ts
@@ -1,4 +1,5 @@
 import type { Facts, OperatorSettings } from '../core/model.js';
+import type { ZonePolicy } from '../core/zone-policy.js';
 import type { Event, Owner } from '../core/owner.js';
 import type { PartRecord } from '../wire/records.js';
 import type { Cloud } from './cloud.js';
@@ -21,6 +22,8 @@
   readonly nextWriteRps: number;
   readonly images: ImagesSeen;
   readonly pages: DecodedPages;
+  /** Makes the policy for zones that are lost and come back; null: the feature is off. */
+  readonly newZonePolicy: (() => ZonePolicy) | null;
   /** Connections straight to workers that may be open at once. */
   readonly directs: number;
   readonly onEnd: (why: string) => void;
--- a/src/edge/term.ts
+++ b/src/edge/term.ts
@@ -4,7 +4,7 @@
 import type { Report } from '../core/model.js';
 import { Owner, type Event } from '../core/owner.js';
 import { mayAnswer, mayStart, othersQuietFrom } from '../core/ownership-timing.js';
-import { EndedJob, parseKey, readJob, type PartRecord } from '../wire/records.js';
+import { EndedJob, parseKey, readJob, zonesKey, type PartRecord } from '../wire/records.js';
 import { now, steady } from './clock.js';
 import { CloudPolling } from './cloud-polling.js';
 import { CommitLoop } from './commit-loop.js';
@@ -14,6 +14,7 @@
 import type { TermContext, TermDependencies } from './term-context.js';
 import { TermProfile, stepOf } from './term-profile.js';
 import { Workers } from './workers.js';
+import { ZoneKeeper } from './zone-keeper.js';
 
 const TICK_MS = 100;
 
@@ -29,6 +30,7 @@
   private readonly contact: StateContact;
   private readonly polling: CloudPolling;
   private readonly profile: TermProfile;
+  private readonly zones: ZoneKeeper;
   private rentals = 0;
   private over = false;
   private tickedAt = steady();
@@ -45,12 +47,14 @@
     // Rentals and returns under way each listen for the end of the term; there is no fixed number of them.
     setMaxListeners(0, this.stop.signal);
     const t = now();
-    this.owner = new Owner(dependencies.facts, dependencies.settings, {
+    const term = {
       token,
       began: t.steady,
       contact: claimed,
       othersQuiet: othersQuietFrom(dependencies.facts, t.steady),
-    });
+    };
+    const zonePolicy = dependencies.newZonePolicy?.() ?? null;
+    this.owner = new Owner(dependencies.facts, dependencies.settings, term, zonePolicy);
     this.profile = new TermProfile(t.steady, dependencies.log);
     const context: TermContext = {
       dependencies,
@@ -64,6 +68,7 @@
     this.commits = new CommitLoop(context, key);
     this.contact = new StateContact(context, key);
     this.polling = new CloudPolling(context);
+    this.zones = new ZoneKeeper(context, key);
     this.workers = new Workers(
       dependencies.directs,
       () => this.owner.state.token,
@@ -102,6 +107,7 @@
     this.routines.add(this.contact.start());
     this.routines.add(this.commits.start());
     this.routines.add(this.polling.start());
+    if (this.owner.state.zonePolicy !== null) this.routines.add(this.zones.start());
   }
 
   end(why: string): void {
@@ -144,6 +150,8 @@
     for (const { id, entry } of pages)
       this.event({ kind: 'page', id, entries: this.dependencies.pages.of(entry), stamp: entry.stamp });
     this.event({ kind: 'loaded' });
+    const zones = this.dependencies.store.copy.get(zonesKey(this.dependencies.part));
+    if (zones !== undefined) this.owner.state.zonePolicy?.restore(zones.value, now());
     this.dependencies.log.info(
       { token: this.token, jobs: this.owner.state.jobs.size, pages: pages.length },
       'term begins',
@@ -195,6 +203,9 @@
       case 'raise':
         this.commits.requestRaise(effect.why);
         break;
+      case 'keep zones':
+        this.zones.keep(effect.record);
+        break;
       case 'abdicate':
         this.end(effect.why);
         this.dependencies.onAbdicate();
--- /dev/null
+++ b/src/edge/zone-keeper.ts
@@ -0,0 +1,47 @@
+import { zonesKey } from '../wire/records.js';
+import { jittered } from './jitter.js';
+import type { OwnedKey } from './owned-key.js';
+import { isAborted, pause, supervise } from './supervised-task.js';
+import type { Subscription } from 'rxjs';
+import type { TermContext } from './term-context.js';
+import { WakeSignal } from './wake-signal.js';
+
+/** Changes of the record come at most this often: each is one of the state service's changes. */
+const EVERY_MS = 1000;
+
+/**
+ * Keeps in the state service what the next owner must know of zones: one small record, the newest of those that wait,
+ * written under the owner's stamp. If it is lost, the next owner starts afresh.
+ */
+export class ZoneKeeper {
+  private newest: { readonly value: unknown } | null = null;
+  private readonly wake = new WakeSignal();
+
+  constructor(
+    private readonly term: TermContext,
+    private readonly key: OwnedKey,
+  ) {}
+
+  /** Runs until unsubscribed. */
+  start(): Subscription {
+    return supervise('zones', this.term.dependencies.log, (signal) => this.run(signal));
+  }
+
+  keep(value: unknown): void {
+    this.newest = { value };
+    this.wake.wake();
+  }
+
+  private async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      await this.wake.wait(EVERY_MS, signal);
+      const next = this.newest;
+      if (next === null || isAborted(signal)) continue;
+      const { store, part } = this.term.dependencies;
+      const write = { write: zonesKey(part), value: next.value };
+      const result = await store.commit([this.key.guard()], [write]);
+      if (result.kind === 'ok' && this.newest === next) this.newest = null;
+      await pause(jittered(EVERY_MS), signal);
+    }
+  }
+}
--- a/src/main.ts
+++ b/src/main.ts
@@ -1,6 +1,7 @@
 import { Command, CommanderError } from 'commander';
 import { version } from '../package.json';
 import { readOperatorSettings } from './edge/operator-settings.js';
+import { readFeatures } from './edge/features.js';
 import { makeLog } from './edge/log.js';
 import { startService } from './edge/service.js';
 import { SettingsError, readPlatform } from './edge/settings.js';
@@ -8,6 +9,7 @@
 interface Options {
   config: string;
   settings?: string;
+  features?: string;
   check?: boolean;
 }
 
@@ -16,17 +18,19 @@
   .version(version)
   .requiredOption('--config <file>', 'the settings file that the platform hands over (JSON)')
   .option('--settings <file>', "operators' settings (S-expressions); see docs/settings.md")
+  .option('--features <file>', 'features that are switched on (S-expressions); see docs/operations')
   .option('--check', 'read and check the settings, then end')
   .exitOverride()
   .action((o: Options) => {
     const platform = readPlatform(o.config);
     const settings = readOperatorSettings(o.settings);
+    const features = readFeatures(o.features);
     if (o.check === true) {
       process.stdout.write('settings are valid\n');
       return;
     }
     const log = makeLog(platform.label);
-    const all = startService(platform, settings, log, (why) => {
+    const all = startService(platform, settings, features, log, (why) => {
       process.stderr.write(`pumiceroad: ${why}\n`);
       process.exit(1);
     });
--- a/src/wire/records.ts
+++ b/src/wire/records.ts
@@ -36,6 +36,9 @@
   return { kind: 'other' };
 }
 
+/** The key under which the owner of a part keeps what the next one must know of zones; older versions pass it over. */
+export const zonesKey = (part: string): string => `${TENANT}/zones/${part}`;
+
 /** The key under which a controller keeps what its version can do; versions that know no such keys pass them over. */
 export const versionKey = (label: string): string => `${TENANT}/version/${label}`;
 
--- /dev/null
+++ b/test/features.test.ts
@@ -0,0 +1,31 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { ZoneRecovery } from '../packages/zone-recovery/src/index.js';
+import { zonePolicyFor } from '../src/edge/feature-loader.js';
+import { parseFeatures, readFeatures } from '../src/edge/features.js';
+import { SettingsError } from '../src/edge/settings.js';
+import { FACTS } from './player.js';
+
+test('features are off unless they are named, and a mistake is told with its line', () => {
+  assert.deepEqual([...readFeatures(undefined)], []);
+  assert.deepEqual([...parseFeatures('; none\n(features)', 'f')], []);
+  assert.deepEqual([...parseFeatures('(features zone-recovery)', 'f')], ['zone-recovery']);
+  const fails = (text: string, message: RegExp): void =>
+    assert.throws(
+      () => parseFeatures(text, 'f'),
+      (e) => e instanceof SettingsError && message.test(e.message),
+    );
+  fails('(features\n  zone-recovery\n  warp)', /^f:3: unknown feature "warp" \(known: zone-recovery\)$/);
+  fails('(fleet (idle-s 5))', /^f:1: unknown group "fleet"/);
+  fails('(features (zone-recovery))', /^f:1: expected a name/);
+  fails('\nfeatures', /^f:2: expected a list$/);
+  fails('(features', /^f: /);
+  assert.throws(() => readFeatures('/nowhere/features.sexp'), SettingsError);
+  assert.deepEqual([...readFeatures('deploy/features.sexp')], [], 'what run starts with is read');
+});
+
+test('the code of a feature is used only where it is on', () => {
+  assert.equal(zonePolicyFor(new Set(), FACTS), null);
+  const make = zonePolicyFor(new Set(['zone-recovery']), FACTS);
+  assert.equal(make?.().constructor.name, ZoneRecovery.name);
+});
--- a/test/standins/site.ts
+++ b/test/standins/site.ts
@@ -193,7 +193,7 @@
 const silent = pino({ level: 'silent' });
 
 export const startController = (p: Platform): Subscription =>
-  startService(p, DEFAULT_SETTINGS, silent, (why) => assert.fail(why));
+  startService(p, DEFAULT_SETTINGS, new Set(), silent, (why) => assert.fail(why));
 
 export const untilHealthy = (api: string): Promise<true> =>
   until('healthy', async () =>
