--- a/test/cancelled-dependents.test.ts
+++ b/test/cancelled-dependents.test.ts
@@ -1,6 +1,9 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { JobRecord } from '../src/core/model.js';
+import { chunkOf } from '../src/core/chunks.js';
+import { place } from '../src/core/intents.js';
+import { isStartable } from '../src/core/orders.js';
 import { changesIn, type Transaction } from '../src/core/outbox.js';
 import { Owner } from '../src/core/owner.js';
 import { othersQuietFrom } from '../src/core/ownership-timing.js';
@@ -133,3 +136,26 @@
   assert.equal(owner.nextTransaction(at(1))?.pages.length, 1, 'the place of req-2');
   assert.deepEqual(owner.nextTransaction(at(6))?.cancelled, ['req-1']);
 });
+
+// A place of a job that waits should never come to be; if one did, by a fault elsewhere, it must still not be started.
+test('a start is not sent while its job waits for another, whatever is recorded', () => {
+  const records = new Records();
+  records.put('req-0', 'open');
+  records.put('req-1', 'open', ['req-0']);
+  const owner = records.takeOver(0);
+  const { state } = owner;
+  const about = { machine: 'm1', endpoint: 'm1:1', type: 'big', zone: 'east', spot: false };
+  const report = { ...about, session: 1, seq: 1, token: state.token, notice: null, tasks: [] };
+  owner.handle({ kind: 'contact', at: at(1).steady }, at(1));
+  owner.handle({ kind: 'report', report }, at(1));
+  const machine = state.machines.get('m1');
+  const starts = (id: string): boolean => {
+    const job = state.jobs.get(id);
+    assert.ok(job !== undefined && machine !== undefined);
+    const intent = job.chunks.get(0)?.intents.get(0) ?? place(state, job, 0, 1, machine, at(1).steady);
+    chunkOf(job, 0).committed = state.version;
+    return isStartable(state, machine, intent, at(1).steady);
+  };
+  assert.equal(starts('req-0'), true);
+  assert.equal(starts('req-1'), false);
+});
