--- a/test/limits-next.test.ts
+++ b/test/limits-next.test.ts
@@ -8,6 +8,10 @@
 import type { PageEntry } from '../src/core/record-pages.js';
 import { seconds, type Now } from '../src/core/time.js';
 import { DEFAULT_SETTINGS } from '../src/edge/operator-settings.js';
+import { CommitLoop } from '../src/edge/commit-loop.js';
+import { makeLog } from '../src/edge/log.js';
+import { OwnedKey } from '../src/edge/owned-key.js';
+import type { TermContext } from '../src/edge/term-context.js';
 import { SettingsError, factsOf, readPlatform } from '../src/edge/settings.js';
 import { readPage, writePage } from '../src/wire/records.js';
 import { FACTS, TYPE, spec } from './player.js';
@@ -95,3 +99,43 @@
   assert.throws(() => read({ value_kb: 1 }), SettingsError);
   rmSync(folder, { recursive: true });
 });
+
+// Nothing tells when the lower limit comes into force but its first refusal.
+test('once the state service refuses for too many changes, the owner keeps to what was announced', async () => {
+  const facts = { ...FACTS, txnOps: 8 };
+  const secondCommitAfter = async (nextWriteRps: number): Promise<number> => {
+    const sent: number[] = [];
+    const answers = [
+      { kind: 'refused', why: 'status 429' },
+      { kind: 'ok', rev: 1 },
+      { kind: 'ok', rev: 2 },
+    ];
+    const pages = Array.from({ length: 8 }, (_, id) => ({
+      id,
+      stamp: 1,
+      version: 1,
+      entries: [],
+      chunks: [],
+    }));
+    const transaction = { token: 1, jobs: new Map(), pages, done: [], cancelled: [] };
+    const store = {
+      commit: () => {
+        sent.push(performance.now());
+        return Promise.resolve(answers[sent.length - 1] ?? { kind: 'ok', rev: 3 });
+      },
+    };
+    const context = {
+      dependencies: { store, facts, part: 'all', writeRps: 18, nextWriteRps, log: makeLog('test') },
+      owner: { nextTransaction: () => transaction, state: { jobs: new Map() } },
+      event: () => undefined,
+    } as unknown as TermContext;
+    const loop = new CommitLoop(context, new OwnedKey(context)).start();
+    while (sent.length < 3) await new Promise((done) => setTimeout(done, 20));
+    loop.unsubscribe();
+    return ((sent[2] ?? 0) - (sent[1] ?? 0)) / 1000;
+  };
+  const [kept, lowered] = await Promise.all([secondCommitAfter(Infinity), secondCommitAfter(6)]);
+  // Eight changes at 0.8 of 18 a second, and of 6 a second.
+  assert.ok(kept < 0.8, `${kept} s`);
+  assert.ok(lowered > 1.1, `${lowered} s`);
+});
