Review: the scripts end their controllers after any error

Cause: an error outside a case's own code, and SIGHUP, left the controllers running; such an error also exited with 1, as if a rule were broken.

--- a/review/stand-ins.mjs
+++ b/review/stand-ins.mjs
@@ -742,6 +742,7 @@
 
   /** Starts a node with the command of the deploy file, or `command` in the folder `cwd`. */
   start(node, { cwd = ROOT, command } = {}) {
+    if (this.ending) return;
     const deployFile = readFileSync(join(ROOT, 'deploy/service.toml'), 'utf8');
     const [program, ...args] = (command ?? /^run = "(.*)"$/m.exec(deployFile)[1]).split(' ');
     const log = openSync(join(this.folder, `${node.label}.log`), 'a');
@@ -793,9 +794,13 @@
     return readFileSync(join(this.folder, `${node.label}.log`), 'utf8');
   }
 
-  stop() {
+  /** Ends all processes, waits until they are gone and removes the temporary folder. */
+  async stop() {
     this.ending = true;
-    for (const node of this.nodes) node.process?.kill('SIGKILL');
+    const children = this.nodes.map((node) => node.process).filter((child) => child !== null);
+    const gone = children.map((child) => new Promise((done) => child.once('exit', done)));
+    for (const child of children) child.kill('SIGKILL');
+    await Promise.race([Promise.all(gone), sleep(3000)]);
     if (process.env.KEEP_LOGS !== '1') rmSync(this.folder, { recursive: true, force: true });
     else process.stdout.write(`logs: ${this.folder}\n`);
   }
@@ -925,34 +930,40 @@
   const trouble = process.env.TROUBLE !== '0';
   record.write(`TROUBLE=${trouble ? 1 : 0}`);
   const site = new Site(facts, record);
-  const state = new StateService({ txnOps: facts.state.txn_ops, valueKb: facts.state.value_kb });
-  const cloud = new Cloud(builds, record);
-  await state.start();
-  await cloud.start();
-  const controllers = new Controllers(record, facts, { cloud: cloud.address, state: state.address });
-  await controllers.prepare();
-  const user = new User(record, controllers, site);
   const closers = [];
-  let code = 2;
-  const finish = (exitCode) => {
-    controllers.stop();
+  let controllers = null;
+  let ending = false;
+  const finish = async (exitCode) => {
+    if (ending) return;
+    ending = true;
+    await controllers?.stop();
     for (const worker of site.workers)
       if (!worker.stopped && worker.closeServer) worker.stop('end of the case');
     for (const close of closers) close();
     record.write(`exit ${exitCode}`);
     process.exit(exitCode);
   };
-  for (const signal of ['SIGINT', 'SIGTERM']) process.on(signal, () => finish(2));
-  setTimeout(() => {
-    record.write('could not run: over 118 seconds');
-    finish(2);
-  }, 118_000).unref();
+  /** An error of the script is never a broken rule; a rule that was seen broken before it stays one. */
+  const giveUp = (text) => {
+    if (ending) return;
+    record.write(`could not run: ${text}`);
+    void finish(site.violations.length > 0 ? 1 : 2);
+  };
+  for (const signal of ['SIGINT', 'SIGTERM', 'SIGHUP']) process.on(signal, () => giveUp(signal));
+  for (const event of ['uncaughtException', 'unhandledRejection'])
+    process.on(event, (error) => giveUp(error?.stack ?? String(error)));
+  setTimeout(() => giveUp('over 117 seconds'), 117_000).unref();
   try {
+    const state = new StateService({ txnOps: facts.state.txn_ops, valueKb: facts.state.value_kb });
+    const cloud = new Cloud(builds, record);
+    await state.start();
+    await cloud.start();
+    controllers = new Controllers(record, facts, { cloud: cloud.address, state: state.address });
+    await controllers.prepare();
+    const user = new User(record, controllers, site);
     await play({ record, trouble, site, state, cloud, controllers, user, closers });
-    code = site.violations.length > 0 ? 1 : 0;
+    await finish(site.violations.length > 0 ? 1 : 0);
   } catch (error) {
-    record.write(`could not run: ${error.stack}`);
-    if (site.violations.length > 0) code = 1;
+    giveUp(error.stack);
   }
-  finish(code);
 }
