--- a/review/stand-ins.mjs
+++ b/review/stand-ins.mjs
@@ -312,11 +312,20 @@
     this.record = record;
     this.jobs = new Map();
     this.runSeconds = new Map();
+    /** Jobs that were submitted with a mistake: their tasks fail on every machine. */
+    this.broken = new Set();
     this.workers = [];
     /** Names of the machines that each task is on. */
     this.onMachine = new Map();
     this.violations = [];
     this.listeners = [];
+    /** Jobs with so many tasks that the record only counts them. */
+    this.unlisted = new Set();
+  }
+
+  /** Writes a line about a task, unless its job's tasks are not listed. */
+  note(ticket, text) {
+    if (!this.unlisted.has(ticket.slice(0, ticket.lastIndexOf('/')))) this.record.write(text);
   }
 
   violate(rule, text) {
@@ -326,7 +335,7 @@
 
   enter(worker, task) {
     const machines = this.onMachine.get(task.ticket) ?? new Set();
-    this.record.write(`task ${task.ticket} try ${task.try} is on ${worker.name} (${task.standing})`);
+    this.note(task.ticket, `task ${task.ticket} try ${task.try} is on ${worker.name} (${task.standing})`);
     for (const other of machines)
       if (other !== worker.name)
         this.violate('ran_twice', `${task.ticket} starts on ${worker.name} while it is on ${other}`);
@@ -337,7 +346,7 @@
 
   leave(worker, task, why) {
     if (this.onMachine.get(task.ticket)?.delete(worker.name))
-      this.record.write(`task ${task.ticket} try ${task.try} left ${worker.name} (${why})`);
+      this.note(task.ticket, `task ${task.ticket} try ${task.try} left ${worker.name} (${why})`);
     for (const listener of this.listeners) listener('off', worker, task);
   }
 
@@ -441,10 +450,12 @@
       });
       if (this.stopped) return;
       if (response === null || response.status !== 200) {
+        for (const listener of this.site.listeners) listener('refused', this, response);
         await this.changeNode(response);
         continue;
       }
       const answer = response.body;
+      for (const listener of this.site.listeners) listener('answer', this, answer);
       if (shift === this.shift && Number.isInteger(answer.baton) && answer.baton >= this.baton) {
         this.lastAnsweredSent = sentAt;
         this.execute(answer);
@@ -507,7 +518,7 @@
   order({ verb, ticket, try: attempt, windDownS = 0 }) {
     const key = `${ticket}#${attempt}`;
     const task = this.tasks.get(key);
-    this.site.record.write(`${this.name} executes ${verb} ${ticket} try ${attempt}`);
+    this.site.note(ticket, `${this.name} executes ${verb} ${ticket} try ${attempt}`);
     if (verb === 'run' && task === undefined) this.begin(key, ticket, attempt);
     else if (verb === 'halt' && task !== undefined && task.standing !== 'exited') this.halt(task, windDownS);
     else if (verb === 'forget' && task?.standing === 'exited') this.tasks.delete(key);
@@ -564,9 +575,10 @@
     this.notifyChange();
     if (!entered) this.site.enter(this, task);
     const seconds = this.site.runSeconds.get(task.job.ref) ?? null;
+    const cause = this.site.broken.has(task.job.ref) ? 'error' : 'done';
     if (seconds !== null)
       task.timer = setTimeout(() => {
-        if (task.standing === 'running') this.exit(task, 'done');
+        if (task.standing === 'running') this.exit(task, cause);
       }, seconds * 1000);
   }
 
@@ -615,7 +627,8 @@
 
   checkLease() {
     if (clock() - this.lastAnsweredSent <= this.site.facts.workers.lease_s) return;
-    this.site.record.write(`${this.name}: lease over, session ${this.shift} ends`);
+    this.site.record.write(`${this.name}: lease over, session ${this.shift} ends, ${this.tasks.size} tasks`);
+    for (const listener of this.site.listeners) listener('lease', this);
     for (const task of this.tasks.values()) this.forgetTask(task, 'lease over');
     this.tasks.clear();
     this.shift += 1;
@@ -858,6 +871,39 @@
   ...fields,
 });
 
+/** The machine type and the facts of the Peachtree deployment, with its guest team (`kit/more/`). */
+export const PORA_BUILD = {
+  label: 'atlanta-rack48',
+  vcpus: 48,
+  gpus: 4,
+  memGb: 288,
+  localGb: 150,
+  fetchGbPerS: 1,
+  rate: 16.19,
+  spotPrice: 4.43,
+  bootS: 30,
+  halls: ['midtown', 'alpharetta', 'augusta'],
+};
+const PORA_TEAMS = [
+  'desk-ops',
+  'compliance-cell',
+  'model-lab',
+  'member-link',
+  'market-data',
+  'savannah-quants',
+];
+export const PORA_FACTS = {
+  nodes: 3,
+  zones: ['midtown', 'alpharetta', 'augusta'],
+  teams: PORA_TEAMS.map((name) => ({ name, cpus: 0, cpus_max: 0, gpus: 0, gpus_max: 0 })),
+  objectives: [],
+  workers: { report_s: 3, lease_s: 24, gang_wait_s: 30, gang_peer_s: 8, cancel_s: 49 },
+  state: { rps: 100, write_rps: 18, value_kb: 4, txn_ops: 8 },
+  cloud: { rps: 5, list_lag_s: 4 },
+  limits: { core_share: 0.34, memory_mb: 242, max_sockets: 2000 },
+  skew_ms: 5,
+};
+
 /** The machine type and the facts of the Quetzal deployment (`kit/sites/quetzal-cardgen.toml`). */
 export const QUETZAL_BUILD = {
   label: 'caja-doce',
