Assignments: a typed delivery of the start command

Cause: one number said by null, 0 or a sequence number whether and how a start had been sent; direct starts and those of earlier leaders shared the 0. Change: startDelivery is a union of the four cases; direct starts use startNeverSent instead of repeating it.

--- a/src/core/assignments/assignments.ts
+++ b/src/core/assignments/assignments.ts
@@ -2,7 +2,7 @@
  * @file Life cycle of assignments: creation, restoration from records, stop, and end on proof. It owns the bookkeeping
  * of assignments in chunks, jobs, machines and quotas. It must never end an assignment whose task may still be running.
  */
-import { type Assignment, taskKey } from '../model/assignment.js';
+import { type Assignment, type StartDelivery, taskKey } from '../model/assignment.js';
 import type { LogFields } from '../model/effects.js';
 import type { Job } from '../model/job.js';
 import type { Machine } from '../model/machine.js';
@@ -19,9 +19,6 @@
 import { isOverloaded } from '../state/overload.js';
 import { requestCompletionIfAllDone } from './job-completion.js';
 
-/** Represents a heartbeat before this term: a previous leader may have sent the start command in any response. */
-const SENT_BEFORE_TERM = 0;
-
 /** Assigns a task to a machine. No command is sent before the assignment is committed. */
 export function assignTask(
   state: ClusterState,
@@ -36,7 +33,7 @@
   markChunkChanged(state, job, chunk, true, now);
   const { name: machineName, agentEpoch, zone } = machine;
   const record: AssignmentRecord = { taskIndex, attempt, machineName, agentEpoch, zone };
-  const assignment = newAssignment(job, record, state.records.version, null, now);
+  const assignment = newAssignment(job, record, state.records.version, { kind: 'not-sent' }, now);
   addAssignment(state, job, chunk, machine, assignment);
   removeUnassignedTask(state.jobs, job, taskIndex);
   machine.idleSince = null;
@@ -52,7 +49,7 @@
   now: MonotonicTime,
 ): void {
   const machine = getOrAddMachine(state, record.machineName, now);
-  const assignment = newAssignment(job, record, 0, SENT_BEFORE_TERM, now);
+  const assignment = newAssignment(job, record, 0, { kind: 'previous-leader' }, now);
   addAssignment(state, job, chunk, machine, assignment);
   job.unassignedTasks.delete(record.taskIndex);
 }
@@ -61,7 +58,7 @@
   job: Job,
   record: AssignmentRecord,
   recordVersion: number,
-  startSentInSequence: number | null,
+  startDelivery: StartDelivery,
   now: MonotonicTime,
 ): Assignment => ({
   jobId: job.spec.id,
@@ -74,7 +71,7 @@
   createdAt: now,
   phase: 'assigned',
   stopRequest: null,
-  startSentInSequence,
+  startDelivery,
   startSentAt: null,
   runningSince: null,
 });
@@ -150,7 +147,7 @@
  * once, because no other leader could have sent the command.
  */
 export const startNeverSent = (state: ClusterState, assignment: Assignment): boolean =>
-  assignment.startSentInSequence === null && !startMayStillArrive(state.commands, assignment);
+  assignment.startDelivery.kind === 'not-sent' && !startMayStillArrive(state.commands, assignment);
 
 /** Requests the stop of a task. If its start command was never sent, the assignment ends at once. */
 export function stopAssignment(
--- a/src/core/commands/direct-starts.ts
+++ b/src/core/commands/direct-starts.ts
@@ -1,13 +1,12 @@
 /**
  * @file Sends start commands directly to workers once a commit allows them, without waiting for the next heartbeat.
  */
-import { assignmentsOf } from '../assignments/assignments.js';
+import { assignmentsOf, startNeverSent } from '../assignments/assignments.js';
 import type { Assignment } from '../model/assignment.js';
 import type { Machine } from '../model/machine.js';
 import type { MonotonicTime, Timestamp } from '../model/time.js';
 import type { Transaction } from '../model/transaction.js';
 import type { ClusterState } from '../state/cluster-state.js';
-import { startMayStillArrive } from '../state/command-state.js';
 import { isOverloaded } from '../state/overload.js';
 import { isStartable } from './start-conditions.js';
 import { trackStartSent } from './start-tracking.js';
@@ -48,10 +47,7 @@
   machine: Machine,
   assignment: Assignment,
   now: MonotonicTime,
-): boolean =>
-  assignment.startSentInSequence === null &&
-  !startMayStillArrive(state.commands, assignment) &&
-  isStartable(state, machine, assignment, now);
+): boolean => startNeverSent(state, assignment) && isStartable(state, machine, assignment, now);
 
 function sendStarts(
   state: ClusterState,
@@ -61,7 +57,7 @@
 ): void {
   for (const assignment of assignments) {
     trackStartSent(state.commands, assignment);
-    assignment.startSentInSequence = 0;
+    assignment.startDelivery = { kind: 'direct' };
     assignment.startSentAt ??= now;
   }
   state.effects.push({
--- a/src/core/commands/heartbeat-commands.ts
+++ b/src/core/commands/heartbeat-commands.ts
@@ -71,7 +71,7 @@
   if (assignment.stopRequest !== null)
     return isReported ? stopCommand(assignment, remainingGracePeriodS(state, assignment, now)) : null;
   if (isReported || !isStartable(state, machine, assignment, now)) return null;
-  assignment.startSentInSequence = machine.sequence;
+  assignment.startDelivery = { kind: 'response', sequence: machine.sequence };
   assignment.startSentAt ??= now;
   return startCommand(assignment);
 }
--- a/src/core/model/assignment.ts
+++ b/src/core/model/assignment.ts
@@ -12,6 +12,17 @@
   readonly requestedAt: MonotonicTime;
 }
 
+/** How the start command of an assignment last left a controller. */
+export type StartDelivery =
+  /** It was never sent: the assignment was made in this term. */
+  | { readonly kind: 'not-sent' }
+  /** A previous leader may have sent it. */
+  | { readonly kind: 'previous-leader' }
+  /** This leader sent it in a direct call; `CommandState` tracks the outcome. */
+  | { readonly kind: 'direct' }
+  /** This leader sent it in the response to the heartbeat with this sequence number. */
+  | { readonly kind: 'response'; readonly sequence: number };
+
 /**
  * One attempt of a task, assigned to a machine. It is committed before any start command for it leaves this process;
  * from then on the task counts as possibly running on the machine until the opposite is proven.
@@ -32,11 +43,7 @@
   phase: AssignmentPhase;
   /** The stop request for this attempt, or null if it is not to be stopped. */
   stopRequest: StopRequest | null;
-  /**
-   * Sequence number of the heartbeat whose response last carried the start command, 0 if the command was sent directly
-   * or may have been sent by a previous leader, or null if it was never sent.
-   */
-  startSentInSequence: number | null;
+  startDelivery: StartDelivery;
   /** When the start command was first sent in this term, or null if it was not. */
   startSentAt: MonotonicTime | null;
   runningSince: MonotonicTime | null;
--- a/src/core/reconciliation/assignment-reconciliation.ts
+++ b/src/core/reconciliation/assignment-reconciliation.ts
@@ -49,7 +49,8 @@
   // Absence is proof only if the worker has shown this term's fencing token and no start command can still arrive.
   if (!machine.hasShownTermToken || startMayStillArrive(state.commands, assignment)) return;
   // A heartbeat that is no newer than the one whose response carried the start command cannot show the task.
-  if (assignment.startSentInSequence !== null && heartbeat.sequence <= assignment.startSentInSequence) return;
+  const { startDelivery } = assignment;
+  if (startDelivery.kind === 'response' && heartbeat.sequence <= startDelivery.sequence) return;
   onTaskAbsent(state, machine, heartbeat, assignment, now);
 }
 
@@ -64,8 +65,7 @@
   machine.unacknowledgedStarts = 0;
   if (reported.state === 'running' && assignment.runningSince === null)
     assignment.runningSince = now.monotonic;
-  // A previous leader sent the start command.
-  if (assignment.startSentInSequence === null) assignment.startSentInSequence = 0;
+  if (assignment.startDelivery.kind === 'not-sent') assignment.startDelivery = { kind: 'previous-leader' };
   const job = state.jobs.byId.get(assignment.jobId);
   if (reported.state !== 'fetching' && job !== undefined)
     recordImageUse(state, machine, job.spec, now.monotonic);
@@ -82,8 +82,7 @@
     endAssignment(state, assignment, false, 'missing from heartbeat', now.monotonic);
     return;
   }
-  if (assignment.startSentInSequence !== null && assignment.startSentInSequence > 0)
-    countUnacknowledgedStart(machine, heartbeat.sequence);
+  if (assignment.startDelivery.kind === 'response') countUnacknowledgedStart(machine, heartbeat.sequence);
   if (assignment.stopRequest !== null)
     endAssignment(state, assignment, false, `not started: ${assignment.stopRequest.reason}`, now.monotonic);
 }
