Absence in an answer to a direct call no longer proves that a start in a response is settled

Cause: the leader compared sequence numbers only. A worker answers direct calls while it waits for a response, so a higher number in such an answer does not show that the response no longer waits. Change: absence counts only from a heartbeat made after the response was executed or dropped: after a later heartbeat of the worker's own, with a higher token, or in the answer to a call that was sent once the worker had dropped the response (4 s). The leader makes that call itself if the worker reaches no controller.

--- a/packages/zone-recovery/test/zone-simulation.ts
+++ b/packages/zone-recovery/test/zone-simulation.ts
@@ -348,6 +348,7 @@
 
   private deliverCommands(name: string, agentEpoch: number, commands: readonly WorkerCommand[]): void {
     const fencingToken = this.scheduler.state.term.fencingToken;
+    const calledAt = this.now().monotonic;
     const scheduler = this.scheduler;
     const answer = (outcome: 'executed' | 'refused' | 'unknown', heartbeat: Heartbeat | null): void => {
       if (scheduler === this.scheduler)
@@ -357,6 +358,7 @@
           agentEpoch,
           fencingToken,
           commands,
+          calledAt,
           outcome,
           heartbeat,
         });
--- a/src/core/commands/heartbeat-commands.ts
+++ b/src/core/commands/heartbeat-commands.ts
@@ -71,7 +71,12 @@
   if (assignment.stopRequest !== null)
     return isReported ? stopCommand(assignment, remainingGracePeriodS(state, assignment, now)) : null;
   if (isReported || !isStartable(state, machine, assignment, now)) return null;
-  assignment.startDelivery = { kind: 'response', sequence: machine.sequence };
+  assignment.startDelivery = {
+    kind: 'response',
+    sequence: machine.sequence,
+    fencingToken: state.term.fencingToken,
+    sentAt: now,
+  };
   assignment.startSentAt ??= now;
   return startCommand(assignment);
 }
--- a/src/core/machines/machine-registry.ts
+++ b/src/core/machines/machine-registry.ts
@@ -25,6 +25,7 @@
   spot: false,
   agentEpoch: 0,
   sequence: 0,
+  ownSequence: 0,
   fencingToken: 0,
   preemptionAt: null,
   lastAcknowledgedAt: previousLeadersDeadline,
--- a/src/core/model/assignment.ts
+++ b/src/core/model/assignment.ts
@@ -21,7 +21,12 @@
   /** This leader sent it in a direct call; `CommandState` tracks the outcome. */
   | { readonly kind: 'direct' }
   /** This leader sent it in the response to the heartbeat with this sequence number. */
-  | { readonly kind: 'response'; readonly sequence: number };
+  | {
+      readonly kind: 'response';
+      readonly sequence: number;
+      readonly fencingToken: number;
+      readonly sentAt: MonotonicTime;
+    };
 
 /**
  * One attempt of a task, assigned to a machine. It is committed before any start command for it leaves this process;
--- a/src/core/model/events.ts
+++ b/src/core/model/events.ts
@@ -22,6 +22,8 @@
   /** Fencing token that the commands carried. */
   readonly fencingToken: number;
   readonly commands: readonly WorkerCommand[];
+  /** When the call was sent, or its sending failed. */
+  readonly calledAt: MonotonicTime;
   readonly outcome: CommandOutcome;
   /** The heartbeat in the worker's response, or null if the worker itself did not answer. */
   readonly heartbeat: Heartbeat | null;
--- a/src/core/model/heartbeat.ts
+++ b/src/core/model/heartbeat.ts
@@ -1,5 +1,5 @@
 /** @file Heartbeats of workers, in parsed form. */
-import type { Duration } from './time.js';
+import type { Duration, MonotonicTime } from './time.js';
 
 /** A task as reported in a worker's heartbeat. */
 export interface ReportedTask {
@@ -13,6 +13,13 @@
   readonly checkpointed: boolean;
 }
 
+/** How a heartbeat reached the leader. */
+export type HeartbeatOrigin =
+  /** The worker sent it by itself, once it no longer waited for the response to its previous one. */
+  | { readonly kind: 'worker' }
+  /** The worker answered a direct call with it, at any time after the call was sent. */
+  | { readonly kind: 'direct-call'; readonly calledAt: MonotonicTime };
+
 /** A worker's heartbeat, sent by the worker on its own or in its response to commands sent directly. */
 export interface Heartbeat {
   readonly machineName: string;
--- a/src/core/model/machine.ts
+++ b/src/core/model/machine.ts
@@ -39,7 +39,10 @@
   spot: boolean;
   /** 0 until the first heartbeat is received. */
   agentEpoch: number;
+  /** Sequence number of the newest heartbeat. */
   sequence: number;
+  /** Highest sequence number of a heartbeat that the worker sent by itself in this agent epoch, 0 before the first. */
+  ownSequence: number;
   fencingToken: number;
   /** When the cloud will preempt the spot machine, according to its preemption notice, or null if it has none. */
   preemptionAt: MonotonicTime | null;
--- a/src/core/periodic/maintenance.ts
+++ b/src/core/periodic/maintenance.ts
@@ -8,6 +8,7 @@
 import { logMissedDeadlines } from '../jobs/dependencies.js';
 import { type Duration, type MonotonicTime, type Timestamp, seconds } from '../model/time.js';
 import { evictFinishedJobs } from '../persistence/finished-jobs.js';
+import { probeForAbsence } from '../reconciliation/absence-proof.js';
 import { findUnresponsiveMachines, isCutOffFromWorkers } from '../reconciliation/failure-detector.js';
 import { probeForTermToken, requestTokenAdvance } from '../reconciliation/fencing.js';
 import { handlePreemptionNotices } from '../reconciliation/preemption-notices.js';
@@ -62,6 +63,7 @@
       logFleetSummary(this.state, now);
     }
     probeForTermToken(this.state, now);
+    probeForAbsence(this.state, now);
     if (now.monotonic - this.slowChecksAt >= SLOW_CHECK_INTERVAL) this.runSlowChecks(now);
   }
 
--- a/src/core/reconciliation/agent-epochs.ts
+++ b/src/core/reconciliation/agent-epochs.ts
@@ -28,6 +28,7 @@
   if (endedBeforeLeaseExpiry(state, machine, now)) markUnreachable(state, machine, now);
   machine.agentEpoch = agentEpoch;
   machine.sequence = 0;
+  machine.ownSequence = 0;
   machine.answeredSequences = [];
   machine.unacknowledgedStarts = 0;
   // The lease of an epoch starts with the epoch, even if none of its heartbeats has been acknowledged yet. If it were
--- a/src/core/reconciliation/assignment-reconciliation.ts
+++ b/src/core/reconciliation/assignment-reconciliation.ts
@@ -5,11 +5,11 @@
 import { endAssignment } from '../assignments/assignments.js';
 import { recordImageUse } from '../machines/image-cache.js';
 import { type Assignment, attemptKey, taskKey } from '../model/assignment.js';
-import type { Heartbeat, ReportedTask } from '../model/heartbeat.js';
+import type { Heartbeat, HeartbeatOrigin, ReportedTask } from '../model/heartbeat.js';
 import type { Machine } from '../model/machine.js';
 import type { Timestamp } from '../model/time.js';
 import type { ClusterState } from '../state/cluster-state.js';
-import { startMayStillArrive } from '../state/command-state.js';
+import { provesAbsence, requestAbsenceProof } from './absence-proof.js';
 import { countUnacknowledgedStart, detectLostStarts } from './reachability.js';
 
 /** Reconciles a machine's assignments with the tasks in its newest heartbeat. */
@@ -17,6 +17,7 @@
   state: ClusterState,
   machine: Machine,
   heartbeat: Heartbeat,
+  origin: HeartbeatOrigin,
   now: Timestamp,
 ): void {
   const listedAttempts = new Set<string>();
@@ -27,7 +28,7 @@
   }
   for (const assignment of [...machine.assignments.values()])
     if (assignment.agentEpoch === heartbeat.agentEpoch)
-      reconcileAssignment(state, machine, heartbeat, assignment, listedAttempts, now);
+      reconcileAssignment(state, machine, heartbeat, origin, assignment, listedAttempts, now);
   detectLostStarts(state, machine, now.monotonic);
   detectOrphanedTasks(state, machine);
 }
@@ -36,6 +37,7 @@
   state: ClusterState,
   machine: Machine,
   heartbeat: Heartbeat,
+  origin: HeartbeatOrigin,
   assignment: Assignment,
   listedAttempts: ReadonlySet<string>,
   now: Timestamp,
@@ -46,12 +48,9 @@
     return onTaskReported(state, machine, assignment, reported, now);
   // The heartbeat lists this attempt as exited, and its exit has already been handled.
   if (listedAttempts.has(attemptKey(jobId, taskIndex, attempt))) return;
-  // Absence is proof only if the worker has shown this term's fencing token and no start command can still arrive.
-  if (!machine.hasShownTermToken || startMayStillArrive(state.commands, assignment)) return;
-  // A heartbeat that is no newer than the one whose response carried the start command cannot show the task.
-  const { startDelivery } = assignment;
-  if (startDelivery.kind === 'response' && heartbeat.sequence <= startDelivery.sequence) return;
-  onTaskAbsent(state, machine, heartbeat, assignment, now);
+  if (provesAbsence(state, machine, heartbeat, origin, assignment))
+    onTaskAbsent(state, machine, heartbeat, assignment, now);
+  else requestAbsenceProof(state, machine, assignment);
 }
 
 function onTaskReported(
--- a/src/core/reconciliation/command-outcomes.ts
+++ b/src/core/reconciliation/command-outcomes.ts
@@ -19,7 +19,7 @@
   for (const command of answer.commands)
     if (command.op === 'start') recordStartOutcome(state, machine, answer, command);
   if (answer.heartbeat === null) return;
-  applyHeartbeat(state, answer.heartbeat, now);
+  applyHeartbeat(state, answer.heartbeat, { kind: 'direct-call', calledAt: answer.calledAt }, now);
   if (answer.outcome === 'refused') retryTokenProbe(state, answer.machineName);
 }
 
--- a/src/core/reconciliation/heartbeat-intake.ts
+++ b/src/core/reconciliation/heartbeat-intake.ts
@@ -7,7 +7,7 @@
 import { dropFencedStarts } from '../commands/start-tracking.js';
 import { isUsable } from '../machines/free-resources.js';
 import { getOrAddMachine } from '../machines/machine-registry.js';
-import type { Heartbeat } from '../model/heartbeat.js';
+import type { Heartbeat, HeartbeatOrigin } from '../model/heartbeat.js';
 import type { Machine } from '../model/machine.js';
 import type { Timestamp } from '../model/time.js';
 import type { ClusterState } from '../state/cluster-state.js';
@@ -18,7 +18,7 @@
 
 /** Handles a heartbeat that a worker sent by itself. */
 export function onWorkerHeartbeat(state: ClusterState, heartbeat: Heartbeat, now: Timestamp): void {
-  applyHeartbeat(state, heartbeat, now);
+  applyHeartbeat(state, heartbeat, { kind: 'worker' }, now);
   recordFirstHeartbeat(state, heartbeat.machineName, now);
   dropCompletedForgets(state.commands, heartbeat);
 }
@@ -27,7 +27,12 @@
  * Applies a heartbeat, whether a worker sent it by itself or in the response to direct commands. Exits count even in
  * delayed heartbeats; the absence of a task counts only in current ones.
  */
-export function applyHeartbeat(state: ClusterState, heartbeat: Heartbeat, now: Timestamp): void {
+export function applyHeartbeat(
+  state: ClusterState,
+  heartbeat: Heartbeat,
+  origin: HeartbeatOrigin,
+  now: Timestamp,
+): void {
   if (heartbeat.fencingToken > state.term.fencingToken) {
     state.effects.push({ kind: 'superseded', fencingToken: heartbeat.fencingToken });
     return;
@@ -43,6 +48,7 @@
   for (const task of heartbeat.tasks)
     if (task.state === 'exited') onTaskExited(state, machine, heartbeat, task, now);
   if (!isCurrent(machine, heartbeat)) {
+    if (origin.kind === 'worker') recordOwnSequence(machine, heartbeat);
     emitLog(state, 'delayed heartbeat', {
       machine: heartbeat.machineName,
       agentEpoch: heartbeat.agentEpoch,
@@ -52,8 +58,9 @@
   }
   const wasUsable = isUsable(state, machine, now.monotonic);
   updateFromHeartbeat(state, machine, heartbeat, now);
+  if (origin.kind === 'worker') recordOwnSequence(machine, heartbeat);
   dropFencedStarts(state.commands, machine);
-  reconcileAssignments(state, machine, heartbeat, now);
+  reconcileAssignments(state, machine, heartbeat, origin, now);
   if (isUsable(state, machine, now.monotonic) !== wasUsable) state.scheduling.cycleNeeded = true;
 }
 
@@ -65,6 +72,12 @@
   heartbeat.agentEpoch > machine.agentEpoch ||
   (heartbeat.agentEpoch === machine.agentEpoch && heartbeat.sequence > machine.sequence);
 
+/** Records a heartbeat that the worker sent by itself, also a delayed one, by its sequence number. */
+function recordOwnSequence(machine: Machine, heartbeat: Heartbeat): void {
+  if (heartbeat.agentEpoch !== machine.agentEpoch) return;
+  machine.ownSequence = Math.max(machine.ownSequence, heartbeat.sequence);
+}
+
 /**
  * Records when a machine's worker first sent a heartbeat by itself in this term. Such a machine needs no probe for a
  * while, because it is expected to show the fencing token by itself.
--- a/src/core/state/command-state.ts
+++ b/src/core/state/command-state.ts
@@ -1,6 +1,7 @@
 /** @file Start commands that may still arrive, and exited tasks that workers must not forget yet. */
 import type { Assignment } from '../model/assignment.js';
 import { attemptKey } from '../model/assignment.js';
+import type { MonotonicTime } from '../model/time.js';
 import type { PendingForget } from '../model/worker-command.js';
 
 /** Commands to workers. The keys of each map are machine names, those of the inner maps tasks or attempts. */
@@ -11,6 +12,11 @@
   readonly unresolvedStarts: Map<string, Map<string, number>>;
   /** Number of start commands sent directly to a worker that have no response yet, by attempt key. */
   readonly startsInFlight: Map<string, Map<string, number>>;
+  /**
+   * Machines with a task that is to be stopped and whose absence is not proven, by name, with the time from which a
+   * direct call can prove it.
+   */
+  readonly absenceProbesDue: Map<string, MonotonicTime>;
 }
 
 /** Returns a state without commands. */
@@ -18,6 +24,7 @@
   pendingForgets: new Map(),
   unresolvedStarts: new Map(),
   startsInFlight: new Map(),
+  absenceProbesDue: new Map(),
 });
 
 /** Whether a start command of the assignment may still reach its machine. */
--- a/src/edge/leadership/leader-term.ts
+++ b/src/edge/leadership/leader-term.ts
@@ -143,7 +143,7 @@
       this.dependencies.maxWorkerConnections,
       () => this.fencingToken,
       (command) => this.mayStart(command),
-      ({ batch, fencingToken, outcome, heartbeat }) => {
+      ({ batch, fencingToken, calledAt, outcome, heartbeat }) => {
         const { machineName, agentEpoch, commands } = batch;
         this.dispatch({
           kind: 'commands-answered',
@@ -151,6 +151,7 @@
           agentEpoch,
           fencingToken,
           commands,
+          calledAt,
           outcome,
           heartbeat,
         });
--- a/src/edge/workers/worker-command-sender.ts
+++ b/src/edge/workers/worker-command-sender.ts
@@ -6,9 +6,11 @@
 import { Subscription } from 'rxjs';
 import type { CommandOutcome } from '../../core/model/events.js';
 import type { Heartbeat } from '../../core/model/heartbeat.js';
+import type { MonotonicTime } from '../../core/model/time.js';
 import type { WorkerCommand } from '../../core/model/worker-command.js';
 import { WORKER_PATHS, encodeCommands, parseHeartbeat } from '../../wire/worker-protocol.js';
 import type { RequestOutcome } from '../net/http-connection.js';
+import { monotonicNow } from '../runtime/clock.js';
 import { KeyedTaskQueue } from './keyed-task-queue.js';
 import { WorkerConnectionPool } from './worker-connection-pool.js';
 
@@ -24,6 +26,8 @@
 export interface CommandResult {
   readonly batch: CommandBatch;
   readonly fencingToken: number;
+  /** When the request was sent, or its sending failed: its response was made after this time. */
+  readonly calledAt: MonotonicTime;
   readonly outcome: CommandOutcome;
   /** The heartbeat in the worker's response; null if there was no response, it had none or the outcome is unknown. */
   readonly heartbeat: Heartbeat | null;
@@ -33,16 +37,20 @@
 
 const isProbe = (batch: CommandBatch): boolean => batch.commands.length === 0;
 
-/** Converts a worker's response to a result. */
-function resultOf(batch: CommandBatch, fencingToken: number, response: RequestOutcome): CommandResult {
-  if (response.kind === 'unsent') return { batch, fencingToken, outcome: 'refused', heartbeat: null };
-  if (response.kind === 'unknown') return { batch, fencingToken, outcome: 'unknown', heartbeat: null };
+/** What a worker's response says about the commands of a request. */
+type WorkerAnswer = Pick<CommandResult, 'outcome' | 'heartbeat'>;
+
+const NOT_EXECUTED: WorkerAnswer = { outcome: 'refused', heartbeat: null };
+const UNKNOWN: WorkerAnswer = { outcome: 'unknown', heartbeat: null };
+
+function answerOf(response: RequestOutcome): WorkerAnswer {
+  if (response.kind === 'unsent') return NOT_EXECUTED;
+  if (response.kind === 'unknown') return UNKNOWN;
   const parsed = parseHeartbeat(response.body);
   const heartbeat = parsed.ok ? parsed.value : null;
-  if (response.status === 200) return { batch, fencingToken, outcome: 'executed', heartbeat };
-  if (response.status === 409 || response.status === 400)
-    return { batch, fencingToken, outcome: 'refused', heartbeat };
-  return { batch, fencingToken, outcome: 'unknown', heartbeat: null };
+  if (response.status === 200) return { outcome: 'executed', heartbeat };
+  if (response.status === 409 || response.status === 400) return { outcome: 'refused', heartbeat };
+  return UNKNOWN;
 }
 
 /**
@@ -100,22 +108,26 @@
   private async send(batch: CommandBatch): Promise<CommandResult> {
     // Each unresponsive machine holds a connection until the timeout. To leave room for commands, probes are refused
     // while at least half of the slots are in use; they are repeated anyway. Commands wait for a free slot.
-    if (isProbe(batch) && this.connections.isHalfFull)
-      return { batch, fencingToken: this.currentFencingToken(), outcome: 'refused', heartbeat: null };
+    if (isProbe(batch) && this.connections.isHalfFull) return this.notSent(batch);
     return this.connections.withSlot(() => this.request(batch));
   }
 
+  private notSent(batch: CommandBatch): CommandResult {
+    return { batch, fencingToken: this.currentFencingToken(), calledAt: monotonicNow(), ...NOT_EXECUTED };
+  }
+
   private async request(batch: CommandBatch): Promise<CommandResult> {
-    const fencingToken = this.currentFencingToken();
     // The batch may have waited behind a slow one, or the process may have been paused. No task is started if the
     // leadership was confirmed too long ago, or if its job was cancelled in the meantime.
     if (batch.commands.some((command) => command.op === 'start' && !this.mayStart(command)))
-      return { batch, fencingToken, outcome: 'refused', heartbeat: null };
+      return this.notSent(batch);
+    const fencingToken = this.currentFencingToken();
+    const calledAt = monotonicNow();
     const response = await this.connections.post(batch.endpoint, {
       path: WORKER_PATHS.commands,
       body: encodeCommands(fencingToken, batch.commands, batch.agentEpoch),
       timeoutMs: REQUEST_TIMEOUT_MS,
     });
-    return resultOf(batch, fencingToken, response);
+    return { batch, fencingToken, calledAt, ...answerOf(response) };
   }
 }
--- a/test/simulation.test.ts
+++ b/test/simulation.test.ts
@@ -15,7 +15,7 @@
 } from '../src/core/state/leadership-timing.js';
 import { seconds, toSeconds, type Timestamp } from '../src/core/model/time.js';
 import type { Effect } from '../src/core/model/effects.js';
-import type { WorkerCommand } from '../src/core/model/worker-command.js';
+import type { HeartbeatAnswer, WorkerCommand } from '../src/core/model/worker-command.js';
 import { DEFAULT_SETTINGS } from '../src/edge/config/operator-settings.js';
 import { CLUSTER_CONFIG, MACHINE_TYPE, jobSpec } from './fixtures/cluster-config.js';
 
@@ -33,9 +33,24 @@
   outboundLost: boolean;
   /** It is paused until this time, in simulated seconds; messages to it are delivered afterwards. */
   pausedUntil: number;
+  /** Its last heartbeat has no response yet: until this time, in simulated seconds, it sends no further one. */
+  awaitsResponseUntil: number;
   tasks: Map<string, ReportedTask & { endsAt: number }>;
 }
 
+/** A worker drops a response that arrives later than this after its heartbeat was sent, in seconds. */
+const RESPONSE_TIMEOUT_S = 4;
+
+/** What a run simulates besides the faults that all runs have. */
+interface SimulationOptions {
+  /** Mean number of steps between failovers; a step takes 0.1 s. */
+  readonly stepsBetweenFailovers: number;
+  readonly overloaded?: boolean;
+  readonly withDependencies?: boolean;
+  /** Holds up responses to heartbeats, so that direct calls overtake them. */
+  readonly holdsResponses?: boolean;
+}
+
 /**
  * Simulates everything around the core: delayed, lost and duplicated messages, agent epochs that end, failovers and
  * cancellations.
@@ -68,12 +83,14 @@
   /** Heartbeats that a partitioned previous leader answered. */
   answeredByPreviousLeader = 0;
 
+  /** Held responses with a start command that were delivered after the worker had answered a direct call. */
+  overtakenStarts = 0;
+  /** Jobs with a start command in a response that is held up. */
+  private readonly jobsWithHeldStart: string[] = [];
+
   constructor(
     seed: number,
-    /** Mean number of steps between failovers; a step takes 0.1 s. */
-    private readonly stepsBetweenFailovers: number,
-    private readonly overloaded: boolean,
-    private readonly withDependencies: boolean,
+    private readonly options: SimulationOptions,
   ) {
     this.generator = xoroshiro128plus(seed);
     for (let n = 0; n < 5; n++)
@@ -87,6 +104,7 @@
         inboundLost: false,
         outboundLost: false,
         pausedUntil: 0,
+        awaitsResponseUntil: 0,
         tasks: new Map(),
       });
     this.scheduler = this.startTerm();
@@ -151,6 +169,7 @@
     }
     if (effect.kind !== 'send-commands') return;
     const token = scheduler.state.term.fencingToken;
+    const calledAt = this.now().monotonic;
     const worker = this.workers.find((worker) => worker.name === effect.machineName);
     assert.ok(worker !== undefined);
     const reportOutcome = (
@@ -164,6 +183,7 @@
         agentEpoch: effect.agentEpoch,
         fencingToken: token,
         commands: effect.commands,
+        calledAt,
         outcome,
         heartbeat,
       });
@@ -276,8 +296,9 @@
   }
 
   private sendHeartbeat(worker: SimulatedWorker): void {
+    // A worker has one heartbeat in flight at a time.
+    if (this.secondsElapsed < worker.awaitsResponseUntil) return;
     const heartbeat = this.nextHeartbeat(worker);
-    const sent = this.secondsElapsed;
     if (worker.outboundLost) return;
     // A delayed heartbeat arrives late and its response is dropped. A heartbeat may also be duplicated.
     if (worker.partitioned || this.randomBelow(12) === 0)
@@ -286,26 +307,62 @@
       this.deliverWithin(40, () => this.handleEvent({ kind: 'heartbeat', heartbeat }));
     // Workers keep sending to their leader for as long as it answers.
     const response = this.answerByPreviousLeader(heartbeat) ?? this.answerByLeader(heartbeat);
-    if (
-      worker.inboundLost ||
-      this.randomBelow(12) === 0 ||
-      response.token < worker.fencingToken ||
-      heartbeat.agentEpoch !== worker.agentEpoch
-    )
+    if (worker.inboundLost || this.randomBelow(12) === 0) return;
+    const sentAt = this.secondsElapsed;
+    if (this.options.holdsResponses === true && this.randomBelow(2) === 0)
+      this.holdResponse(worker, heartbeat, response, sentAt);
+    else this.deliverResponse(worker, heartbeat, response, sentAt);
+  }
+
+  /** Delivers a response to a heartbeat after a delay that the worker still waits out. */
+  private holdResponse(
+    worker: SimulatedWorker,
+    heartbeat: Heartbeat,
+    response: HeartbeatAnswer,
+    sentAt: number,
+  ): void {
+    const delayS = (1 + this.randomBelow(RESPONSE_TIMEOUT_S * 10 - 1)) / 10;
+    worker.awaitsResponseUntil = sentAt + delayS;
+    const startedJobs = response.commands.filter(({ op }) => op === 'start').map(({ jobId }) => jobId);
+    this.jobsWithHeldStart.push(...startedJobs);
+    const deliver = (): void => {
+      for (const id of startedJobs) this.jobsWithHeldStart.splice(this.jobsWithHeldStart.indexOf(id), 1);
+      if (startedJobs.length > 0 && worker.sequence > heartbeat.sequence) this.overtakenStarts += 1;
+      this.deliverResponse(worker, heartbeat, response, sentAt);
+    };
+    this.messages.push({ due: sentAt + delayS, run: deliver });
+  }
+
+  private deliverResponse(
+    worker: SimulatedWorker,
+    heartbeat: Heartbeat,
+    response: HeartbeatAnswer,
+    sentAt: number,
+  ): void {
+    // A paused worker finds the response when it resumes, and drops it if it has waited for too long by then.
+    if (this.secondsElapsed < worker.pausedUntil) {
+      this.messages.push({
+        due: worker.pausedUntil,
+        run: () => this.deliverResponse(worker, heartbeat, response, sentAt),
+      });
       return;
-    worker.lastRenewedAt = sent;
-    this.applyCommands(worker, response.token, response.commands);
+    }
+    this.expireLease(worker);
+    if (this.secondsElapsed - sentAt > RESPONSE_TIMEOUT_S) return;
+    if (response.fencingToken < worker.fencingToken || heartbeat.agentEpoch !== worker.agentEpoch) return;
+    worker.lastRenewedAt = sentAt;
+    this.applyCommands(worker, response.fencingToken, response.commands);
   }
 
-  private answerByLeader(heartbeat: Heartbeat): { token: number; commands: WorkerCommand[] } {
+  private answerByLeader(heartbeat: Heartbeat): HeartbeatAnswer {
     this.handleEvent({ kind: 'heartbeat', heartbeat });
     return {
-      token: this.scheduler.state.term.fencingToken,
+      fencingToken: this.scheduler.state.term.fencingToken,
       commands: this.scheduler.answerHeartbeat(heartbeat, this.now()),
     };
   }
 
-  private answerByPreviousLeader(heartbeat: Heartbeat): { token: number; commands: WorkerCommand[] } | null {
+  private answerByPreviousLeader(heartbeat: Heartbeat): HeartbeatAnswer | null {
     const previousLeader = this.previousLeader;
     if (previousLeader === null) return null;
     if (
@@ -319,7 +376,7 @@
     if (this.previousLeader === null) return null;
     this.answeredByPreviousLeader += 1;
     return {
-      token: previousLeader.state.term.fencingToken,
+      fencingToken: previousLeader.state.term.fencingToken,
       commands: previousLeader.answerHeartbeat(heartbeat, this.now()),
     };
   }
@@ -445,7 +502,7 @@
     if (stepIndex % 3 === 0) {
       // In an overloaded run the process lags two fifths of the time, and then sends all commands in heartbeat
       // responses.
-      if (this.overloaded) this.scheduler.recordEventLoopLag(stepIndex % 1000 >= 600 ? seconds(0.5) : 0n);
+      if (this.options.overloaded === true) this.recordLag(stepIndex);
       this.handleEvent({ kind: 'tick' });
       const previousLeader = this.previousLeader;
       if (previousLeader !== null)
@@ -454,10 +511,20 @@
     }
     if (this.randomBelow(40) === 0) this.submitJob(stepIndex);
     if (this.randomBelow(120) === 0) this.cancelJob();
-    if (this.randomBelow(this.stepsBetweenFailovers) === 0) this.startTerm();
+    if (this.randomBelow(this.options.stepsBetweenFailovers) === 0) this.startTerm();
     this.checkInvariants();
   }
 
+  /**
+   * Overloads the leader for the last two fifths of each period. With responses held up, a period is short: starts that
+   * an overloaded leader leaves to responses are overtaken by the direct calls of the next period.
+   */
+  private recordLag(stepIndex: number): void {
+    const periodSteps = this.options.holdsResponses === true ? 50 : 1000;
+    const lags = stepIndex % periodSteps >= (periodSteps * 3) / 5;
+    this.scheduler.recordEventLoopLag(lags ? seconds(0.5) : 0n);
+  }
+
   private submitJob(stepIndex: number): void {
     const isGang = this.randomBelow(4) === 0;
     const team = (['red', 'blue', 'green'] as const)[this.randomBelow(3)] ?? 'red';
@@ -467,7 +534,7 @@
       taskCount: 1 + this.randomBelow(3),
       team,
       priority: this.randomBelow(3) === 0 ? 'high' : 'normal',
-      dependencies: this.withDependencies ? this.randomDependencies() : [],
+      dependencies: this.options.withDependencies === true ? this.randomDependencies() : [],
     });
     const record: JobRecord = { spec, submittedAt: this.now().wall, status: 'open' };
     const modRevision = ++this.revision;
@@ -496,7 +563,10 @@
         ),
       ),
     );
-    const candidates = endingSoon.length > 0 && this.randomBelow(2) === 0 ? endingSoon : cancellableJobs;
+    // Cancellations are frequent while a start is held up: their direct stop commands overtake it.
+    const heldUp = cancellableJobs.filter(([id]) => this.jobsWithHeldStart.includes(id));
+    const coinciding = heldUp.length > 0 ? heldUp : endingSoon;
+    const candidates = coinciding.length > 0 && this.randomBelow(2) === 0 ? coinciding : cancellableJobs;
     const chosen = candidates[this.randomBelow(Math.max(1, candidates.length))];
     if (chosen === undefined) return;
     const [id, job] = chosen;
@@ -534,29 +604,58 @@
   }
 }
 
-for (const [seed, stepsBetweenFailovers, overloaded, withDependencies] of [
-  [1, 900, false, false],
-  [2, 900, false, false],
-  [3, 900, false, false],
-  [4, 900, false, false],
+/** Steps of a run; a step takes 0.1 s. */
+const STEPS = 4000;
+
+const RUNS: readonly (SimulationOptions & { readonly seed: number })[] = [
+  { seed: 1, stepsBetweenFailovers: 900 },
+  { seed: 2, stepsBetweenFailovers: 900 },
+  { seed: 3, stepsBetweenFailovers: 900 },
+  { seed: 4, stepsBetweenFailovers: 900 },
   // Ten failovers in two minutes.
-  [5, 120, false, false],
-  [7, 120, false, false],
+  { seed: 5, stepsBetweenFailovers: 120 },
+  { seed: 7, stepsBetweenFailovers: 120 },
   // A process that is overloaded at times.
-  [2, 900, true, false],
-  [5, 120, true, false],
+  { seed: 2, stepsBetweenFailovers: 900, overloaded: true },
+  { seed: 5, stepsBetweenFailovers: 120, overloaded: true },
   // Jobs with dependencies, some of which are cancelled.
-  [31, 300, false, true],
-  [34, 300, false, true],
-  [36, 900, false, true],
-  [47, 900, false, true],
-  [43, 120, true, true],
-] as const)
-  test(`invariants hold, seed ${seed}, a failover every ${stepsBetweenFailovers / 10} s${overloaded ? ', at times overloaded' : ''}${withDependencies ? ', with dependencies' : ''}`, () => {
-    const simulation = new Simulation(seed, stepsBetweenFailovers, overloaded, withDependencies);
-    for (let n = 0; n < 4000; n++) simulation.step(n);
+  { seed: 31, stepsBetweenFailovers: 300, withDependencies: true },
+  { seed: 34, stepsBetweenFailovers: 300, withDependencies: true },
+  { seed: 36, stepsBetweenFailovers: 900, withDependencies: true },
+  { seed: 47, stepsBetweenFailovers: 900, withDependencies: true },
+  { seed: 43, stepsBetweenFailovers: 120, overloaded: true, withDependencies: true },
+  // Direct calls overtake starts in responses that are held up.
+  { seed: 47, stepsBetweenFailovers: 900, holdsResponses: true },
+  { seed: 26, stepsBetweenFailovers: 300, holdsResponses: true },
+  { seed: 87, stepsBetweenFailovers: 120, holdsResponses: true },
+  { seed: 50, stepsBetweenFailovers: 900, overloaded: true, holdsResponses: true },
+  { seed: 87, stepsBetweenFailovers: 900, overloaded: true, holdsResponses: true },
+  { seed: 12, stepsBetweenFailovers: 300, overloaded: true, holdsResponses: true },
+  { seed: 21, stepsBetweenFailovers: 300, overloaded: true, holdsResponses: true },
+  { seed: 8, stepsBetweenFailovers: 120, overloaded: true, holdsResponses: true },
+  { seed: 18, stepsBetweenFailovers: 120, overloaded: true, holdsResponses: true },
+];
+
+function titleOf({
+  seed,
+  stepsBetweenFailovers,
+  overloaded,
+  withDependencies,
+  holdsResponses,
+}: (typeof RUNS)[number]): string {
+  const parts = [`invariants hold, seed ${seed}`, `a failover every ${stepsBetweenFailovers / 10} s`];
+  if (overloaded === true) parts.push('at times overloaded');
+  if (withDependencies === true) parts.push('with dependencies');
+  if (holdsResponses === true) parts.push('with responses held up');
+  return parts.join(', ');
+}
+
+for (const run of RUNS)
+  test(titleOf(run), () => {
+    const simulation = new Simulation(run.seed, run);
+    for (let n = 0; n < STEPS; n++) simulation.step(n);
     assert.ok(
-      !withDependencies || simulation.checkedDependencies > 5,
+      run.withDependencies !== true || simulation.checkedDependencies > 5,
       `${simulation.checkedDependencies} dependencies`,
     );
     assert.ok(
@@ -567,4 +666,8 @@
       simulation.lateTransactions > 4 && simulation.answeredByPreviousLeader > 4,
       `${simulation.lateTransactions} late transactions, ${simulation.answeredByPreviousLeader} responses`,
     );
+    assert.ok(
+      run.holdsResponses !== true || simulation.overtakenStarts > 1,
+      `${simulation.overtakenStarts} starts that a direct call overtook`,
+    );
   });
--- a/test/standins/cluster.ts
+++ b/test/standins/cluster.ts
@@ -152,7 +152,7 @@
     const cloud = await listen((method, url, body) => this.answer(method, url, body));
     this.cloudAddress = cloud.address;
     this.closeCloud = cloud.close;
-    for (const zone of ['east', 'west']) await this.addMachine(zone);
+    for (const zone of ['east', 'west']) await this.addWorker(zone);
   }
 
   stop(): void {
@@ -172,7 +172,7 @@
     const names: string[] = [];
     const limit = INITIAL_MACHINES + this.spareMachines;
     while (names.length < (body['number'] as number) && this.machineCount < limit)
-      names.push(await this.addMachine(body['hall'] as string));
+      names.push((await this.addWorker(body['hall'] as string)).name);
     if (names.length === 0) return { status: 503, body: { error: 'no capacity' } };
     this.scaleOuts.set(request, names);
     return { status: 200, body: { rigs: names } };
@@ -192,13 +192,14 @@
     return { status: 504, body: {} };
   }
 
-  private async addMachine(zone: string): Promise<string> {
+  /** Adds a running machine with a worker. */
+  async addWorker(zone: string): Promise<WorkerStandIn> {
     const name = `n-00000${this.machineCount}`;
     this.machineCount += 1;
     const worker = new WorkerStandIn(name, zone, this.controllers, this.history, this.taskDurationMs);
     await worker.start();
     this.workers.push(worker);
-    return name;
+    return worker;
   }
 
   private removeMachine(name: string): void {
--- a/test/standins/worker.ts
+++ b/test/standins/worker.ts
@@ -11,7 +11,7 @@
 }
 
 /** Commands of a controller, with the field names of the protocol. */
-interface CommandsBody {
+export interface CommandsBody {
   readonly baton?: number;
   readonly shift?: number;
   readonly orders?: readonly { verb: string; ticket: string; try: number }[];
@@ -56,6 +56,14 @@
   /** Delay of its responses to commands; the commands themselves are executed at once. */
   responseDelayMs = 0;
   heartbeatIntervalMs = 60;
+  /** Seconds until the cloud takes the machine back, as reported in heartbeats, or null without a notice. */
+  preemptionNoticeS: number | null = null;
+  /** Called with each response to a heartbeat; the worker receives it once the returned promise is fulfilled. */
+  holdResponse: (response: CommandsBody) => Promise<void> | null = () => null;
+  /** Number of its heartbeats that a controller answered. */
+  answeredHeartbeats = 0;
+  /** Number of stop commands that it received in direct calls. */
+  directStops = 0;
   /** If set, keeps its connection to a controller open, as real workers do. */
   agent: Agent | false = false;
   private sequence = 0;
@@ -103,7 +111,7 @@
       shift: this.agentEpoch,
       tick: this.sequence,
       baton: this.fencingToken,
-      recallS: null,
+      recallS: this.preemptionNoticeS,
       tickets: [...this.tasks.values()].map((task) => ({ ...task })),
     };
   }
@@ -118,8 +126,11 @@
         ? null
         : await call(controller, 'POST', '/hello', this.heartbeatBody(), this.agent).catch(() => null);
       if (response?.status !== 200 || this.inboundLost) turn += 1;
-      else if (agentEpoch === this.agentEpoch && this.applyCommands(response.body))
-        this.lastRenewedAt = sentAt;
+      else {
+        await this.holdResponse(response.body);
+        if (agentEpoch === this.agentEpoch && this.applyCommands(response.body)) this.lastRenewedAt = sentAt;
+        this.answeredHeartbeats += 1;
+      }
       this.expireLease();
       await new Promise<void>((done) => this.timers.add(setTimeout(done, this.heartbeatIntervalMs)));
     }
@@ -141,6 +152,7 @@
     if (body.baton === undefined || body.shift === undefined) return { status: 400, body: {} };
     const accepted = body.shift === this.agentEpoch && body.baton >= this.fencingToken;
     if (accepted) this.applyCommands(body);
+    this.directStops += (body.orders ?? []).filter(({ verb }) => verb === 'halt').length;
     const reply = { status: accepted ? 200 : 409, body: this.heartbeatBody() };
     if (this.responseDelayMs === 0) return reply;
     return new Promise((done) => this.timers.add(setTimeout(() => done(reply), this.responseDelayMs)));
--- a/test/trace-runner.ts
+++ b/test/trace-runner.ts
@@ -235,6 +235,7 @@
       agentEpoch,
       fencingToken,
       commands: [],
+      calledAt: timeAt(parseNumber(args['called'], this.secondsIntoTerm)).monotonic,
       outcome: 'executed',
       heartbeat,
     });
@@ -247,6 +248,7 @@
       agentEpoch: this.scheduler.state.machines.byName.get(machineName)?.agentEpoch ?? 1,
       fencingToken: this.scheduler.state.term.fencingToken,
       commands: starts.map((start) => ({ op: 'start' as const, ...parseTaskReference(start) })),
+      calledAt: this.now().monotonic,
       outcome,
       heartbeat: null,
     });
