The end of a job fits a lowered limit, whatever an earlier version accepted

Cause: the end of a job rewrote its whole record; the state store answered 400, and the commit loop repeats a refused transaction until it is carried out. Why it works: all other fields are bounded, so the write fits, for the leader and for a user's cancellation.

--- a/src/edge/http/cancellations.ts
+++ b/src/edge/http/cancellations.ts
@@ -2,7 +2,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { JobRecord } from '../../core/model/job.js';
 import { FinishedJobSummary } from '../../wire/finished-job-summary.js';
-import { decodeJob, encodeJob } from '../../wire/job-record.js';
+import { decodeJob, encodeFinishedJob } from '../../wire/job-record.js';
 import { jobKey } from '../../wire/keys.js';
 import { millisecondsSince, monotonicNow } from '../runtime/clock.js';
 import { jittered } from '../runtime/jitter.js';
@@ -28,6 +28,7 @@
     private readonly stateStore: StateStore,
     private readonly queries: StatusQueries,
     private readonly admission: RequestAdmission,
+    private readonly maxValueBytes: number,
   ) {}
 
   /** Cancels a job. Returns success only once the cancellation, or an earlier end of the job, is committed. */
@@ -57,7 +58,7 @@
     const record: JobRecord = { ...decodeJob(entry.value), status: 'cancelled' };
     const result = await this.stateStore.commit(
       [{ key, modRevision: entry.modRevision }],
-      [{ kind: 'put', key, value: encodeJob(record) }],
+      [{ kind: 'put', key, value: encodeFinishedJob(record, this.maxValueBytes) }],
     );
     return result.kind === 'committed' || result.kind === 'refused' ? result.kind : 'retry';
   }
--- a/src/edge/http/request-handler.ts
+++ b/src/edge/http/request-handler.ts
@@ -45,7 +45,7 @@
       admission,
       () => this.machineTypes,
     );
-    this.cancellations = new Cancellations(stateStore, this.queries, admission);
+    this.cancellations = new Cancellations(stateStore, this.queries, admission, limits.maxValueBytes);
   }
 
   /** True if jobs can be accepted and looked up. */
--- a/src/edge/http/submission-checks.ts
+++ b/src/edge/http/submission-checks.ts
@@ -6,7 +6,7 @@
 import type { JobRecord, JobSpec } from '../../core/model/job.js';
 import type { MachineType } from '../../core/model/machine.js';
 import { fitsQuota } from '../../core/state/team-quotas.js';
-import { encodeJob } from '../../wire/job-record.js';
+import { encodeJob, storedBytes } from '../../wire/job-record.js';
 
 /** The part of the configuration that submissions are checked against. */
 export type SubmissionLimits = Pick<ClusterConfig, 'teams' | 'maxValueBytes'>;
@@ -39,5 +39,5 @@
  */
 function largestRecordBytes(spec: JobSpec): number {
   const record: JobRecord = { spec, submittedAt: new Date(), status: 'cancelled' };
-  return Buffer.byteLength(JSON.stringify(encodeJob(record)));
+  return storedBytes(encodeJob(record));
 }
--- a/src/edge/leadership/commit-loop.ts
+++ b/src/edge/leadership/commit-loop.ts
@@ -88,7 +88,7 @@
     const { stateStore, logger, partition, config } = this.term.dependencies;
     const leaderCondition = this.key.condition(transaction.fencingToken);
     const conditions = encodeConditions(transaction, leaderCondition, partition);
-    const writes = encodeWrites(transaction, this.term.scheduler.state.jobs, partition, config.zones);
+    const writes = encodeWrites(transaction, this.term.scheduler.state.jobs, partition, config);
     let earlierOutcomeUnknown = false;
     for (let retries = 0; !signal.aborted; retries++) {
       const result = await stateStore.commit(conditions, writes);
--- a/src/edge/leadership/transaction-encoding.ts
+++ b/src/edge/leadership/transaction-encoding.ts
@@ -3,9 +3,10 @@
  * transaction is encoded only once, so that every retry sends the same request.
  */
 import type { JobTable } from '../../core/state/job-table.js';
+import type { ClusterConfig } from '../../core/model/cluster-config.js';
 import type { PageWrite, Transaction } from '../../core/model/transaction.js';
 import { jobKey, pageKey } from '../../wire/keys.js';
-import { encodeJob } from '../../wire/job-record.js';
+import { encodeFinishedJob } from '../../wire/job-record.js';
 import { encodePage } from '../../wire/page-record.js';
 import type { CompareCondition, WriteOperation } from '../../wire/state-store-protocol.js';
 
@@ -32,8 +33,10 @@
   transaction: Transaction,
   jobs: Pick<JobTable, 'byId'>,
   partition: string,
-  zones: readonly string[],
+  { zones, maxValueBytes }: Pick<ClusterConfig, 'zones' | 'maxValueBytes'>,
 ): WriteOperation[] {
+  const finishedJobWrites = (ids: readonly string[], status: 'done' | 'cancelled'): WriteOperation[] =>
+    ids.flatMap((id) => finishedJobWrite(jobs, id, status, maxValueBytes));
   const pageWrite = ({ id, entries }: PageWrite): WriteOperation => ({
     kind: 'put',
     key: pageKey(partition, id),
@@ -41,8 +44,8 @@
   });
   return [
     ...transaction.pages.map(pageWrite),
-    ...transaction.completedJobs.flatMap((id) => finishedJobWrite(jobs, id, 'done')),
-    ...transaction.cancelledJobs.flatMap((id) => finishedJobWrite(jobs, id, 'cancelled')),
+    ...finishedJobWrites(transaction.completedJobs, 'done'),
+    ...finishedJobWrites(transaction.cancelledJobs, 'cancelled'),
   ];
 }
 
@@ -51,9 +54,11 @@
   jobs: Pick<JobTable, 'byId'>,
   id: string,
   status: 'done' | 'cancelled',
+  maxValueBytes: number,
 ): WriteOperation[] {
   const job = jobs.byId.get(id);
   if (job === undefined) return [];
   const { spec, submittedAt } = job;
-  return [{ kind: 'put', key: jobKey(id), value: encodeJob({ spec, submittedAt, status }) }];
+  const value = encodeFinishedJob({ spec, submittedAt, status }, maxValueBytes);
+  return [{ kind: 'put', key: jobKey(id), value }];
 }
--- a/src/wire/job-record.ts
+++ b/src/wire/job-record.ts
@@ -68,6 +68,21 @@
   return { st: status, at, s: { ...stored, dependencies } };
 }
 
+/** Returns the size of a stored value as the state store counts it, in bytes. */
+export const storedBytes = (value: unknown): number => Buffer.byteLength(JSON.stringify(value));
+
+/**
+ * Encodes the record of a job that is done or cancelled, in at most `maxBytes`. A record that an earlier version wrote
+ * under a larger limit may be longer: then the fields of unbounded length are left empty. They only decide where tasks
+ * are placed, and a finished job gets no more.
+ */
+export function encodeFinishedJob(record: JobRecord, maxBytes: number): unknown {
+  const complete = encodeJob(record);
+  if (storedBytes(complete) <= maxBytes) return complete;
+  const spec: JobSpec = { ...record.spec, class: '', machineTypes: null, image: '', imageGb: 0 };
+  return encodeJob({ ...record, spec });
+}
+
 /** Caches decoded records by stored value, because every lookup of a job needs its record. */
 const decodedRecords = new WeakMap<object, JobRecord>();
 
--- a/test/standins/state-store.ts
+++ b/test/standins/state-store.ts
@@ -32,9 +32,10 @@
 const ITEMS_PER_LIST = 3;
 const CONDITIONS_PER_OPERATION = 4;
 
+/** Limits of a transaction; tests lower them while it runs. */
 interface Limits {
-  readonly txnOps: number;
-  readonly valueBytes: number;
+  txnOps: number;
+  valueBytes: number;
 }
 
 const replyAfter = (delayMs: number, reply: () => Reply): Promise<Reply> =>
@@ -65,7 +66,7 @@
   private nextLeaseId = 1;
   private readonly closeServers: (() => void)[] = [];
 
-  constructor(private readonly limits: Limits) {}
+  constructor(readonly limits: Limits) {}
 
   async start(): Promise<void> {
     this.address = (await this.openEndpoint()).address;
