Quarantine: lifted when the failures turn out to be the jobs' fault

Cause: two failed jobs quarantine a machine; nothing reconsidered that when the jobs were cancelled, or turned out to fail everywhere. A quarantined machine that is not empty is neither used nor replaced. Evicted jobs counted as evidence again. Change: reconciliation/quarantine.ts owns the failures by machine and counts the evidence again once a second. Jobs that fail on more than two machines or were cancelled without a result are none. The unused quarantinedSince is gone. Why it works: what remains as evidence are failures of jobs that were done elsewhere or are still open; a machine without enough of it is used again within a second.

--- a/src/core/machines/machine-registry.ts
+++ b/src/core/machines/machine-registry.ts
@@ -38,7 +38,6 @@
   cachedImages: new Map(),
   failuresByJob: new Map(),
   quarantined: false,
-  quarantinedSince: null,
   idleSince: null,
   instanceState: null,
   lastListedAt: null,
--- a/src/core/periodic/maintenance.ts
+++ b/src/core/periodic/maintenance.ts
@@ -12,6 +12,7 @@
 import { findUnresponsiveMachines, isCutOffFromWorkers } from '../reconciliation/failure-detector.js';
 import { probeForTermToken, requestTokenAdvance } from '../reconciliation/fencing.js';
 import { handlePreemptionNotices } from '../reconciliation/preemption-notices.js';
+import { liftUnfoundedQuarantines } from '../reconciliation/quarantine.js';
 import { probeUnreachableMachines } from '../reconciliation/reachability.js';
 import { expireLeases } from '../reconciliation/worker-leases.js';
 import { observeZones } from '../scheduling/zone-observation.js';
@@ -82,6 +83,7 @@
     this.slowChecksAt = now.monotonic;
     // No event reports that a retry delay ended, a machine became suspected or pending work became urgent.
     state.scheduling.cycleNeeded = state.scheduling.cycleNeeded || state.jobs.pending.size > 0;
+    liftUnfoundedQuarantines(state);
     evictFinishedJobs(state, now.monotonic);
     logMissedDeadlines(state, now);
     observeZones(state, now);
--- a/src/core/reconciliation/task-exits.ts
+++ b/src/core/reconciliation/task-exits.ts
@@ -1,6 +1,6 @@
 /**
  * @file Handles the exit of a task: ends its assignment, stops its gang if it failed, and counts failures against the
- * job and the machine. Failures are counted only in this module.
+ * job; quarantine.ts counts them against the machine.
  */
 import { endAssignment, stopAssignment } from '../assignments/assignments.js';
 import { requestForget } from '../commands/forgets.js';
@@ -11,9 +11,7 @@
 import { type Duration, type Timestamp, seconds, toSeconds } from '../model/time.js';
 import type { ClusterState } from '../state/cluster-state.js';
 import { emitLog } from '../state/log-effects.js';
-
-/** A job that fails on more machines than this is considered to be at fault itself. */
-const MANY_MACHINES_THRESHOLD = 2;
+import { failsOnManyMachines, recordFailure } from './quarantine.js';
 
 /** Retry delay of a job that has failed on few machines. */
 const RETRY_DELAY_S = 0.2;
@@ -103,8 +101,7 @@
   job.failureCount += 1;
   job.failuresByMachine.set(machine.name, (job.failuresByMachine.get(machine.name) ?? 0) + 1);
   job.retryNotBefore = now.monotonic + retryDelay(job);
-  machine.failuresByJob.set(job.spec.id, now.monotonic);
-  quarantineIfFaulty(state, machine, now);
+  recordFailure(state, machine, job, now.monotonic);
 }
 
 /** Returns the retry delay, which grows with each failure of a job that fails on many machines. */
@@ -113,23 +110,6 @@
   return seconds(Math.min(2 ** Math.min(job.failureCount, MAX_BACKOFF_EXPONENT), MAX_RETRY_DELAY_S));
 }
 
-const failsOnManyMachines = (job: Job): boolean => job.failuresByMachine.size > MANY_MACHINES_THRESHOLD;
-
-/**
- * Quarantines a machine on which enough different jobs have failed, because that indicates a faulty machine. Jobs that
- * fail on many machines do not count against it.
- */
-function quarantineIfFaulty(state: ClusterState, machine: Machine, now: Timestamp): void {
-  const failedJobs = [...machine.failuresByJob.keys()].filter((id) => {
-    const job = state.jobs.byId.get(id);
-    return job === undefined || !failsOnManyMachines(job);
-  });
-  if (machine.quarantined || failedJobs.length < state.settings.quarantineThreshold) return;
-  machine.quarantined = true;
-  machine.quarantinedSince = now.monotonic;
-  emitLog(state, 'machine quarantined', { machine: machine.name, failedJobs }, 'info');
-}
-
 /** Updates the duration factor of a class, the ratio of run times to estimates, from a completed task. */
 function updateDurationFactor(state: ClusterState, job: Job, ranFor: Duration): void {
   const estimate = toSeconds(job.spec.estimatedDuration);
