--- a/src/core/reconciliation/heartbeat-intake.ts
+++ b/src/core/reconciliation/heartbeat-intake.ts
@@ -60,7 +60,7 @@
   updateFromHeartbeat(state, machine, heartbeat, now);
   if (origin.kind === 'worker') recordOwnSequence(machine, heartbeat);
   dropFencedStarts(state.commands, machine);
-  reconcileAssignments(state, machine, heartbeat, origin, now);
+  reconcileAssignments(state, machine, heartbeat, origin, now.monotonic);
   if (isUsable(state, machine, now.monotonic) !== wasUsable) state.scheduling.cycleNeeded = true;
 }
 
