Build: the rehearsal listens on addresses that no connection can take

Cause: the build's last step looked for a free port, closed it, and listened on it later. In between, a connection may get that port as its source port, also one of the rehearsal's own worker, which connects before the program listens. The cause is from reading; it was not reproduced. Change: a loopback address of the process's own, and ports below those that the kernel assigns, as the tests have them.

--- a/deploy/precompile.mjs
+++ b/deploy/precompile.mjs
@@ -6,7 +6,6 @@
  * commits in its first seconds. With that code in the cache, the processor time of the startup itself also fell from
  * 0.18 to 0.14 s.
  */
-import { createServer } from 'node:net';
 import { createRequire } from 'node:module';
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
@@ -21,15 +20,15 @@
 
 const target = join(import.meta.dirname ?? new URL('.', import.meta.url).pathname, '..', 'target');
 
-function findFreePort() {
-  return new Promise((resolve) => {
-    const server = createServer();
-    server.listen(0, '127.0.0.1', () => {
-      const { port } = server.address();
-      server.close(() => resolve(port));
-    });
-  });
-}
+/**
+ * A loopback address that belongs to this process alone. A free port of a shared address may become the source port of
+ * another connection before the program listens on it.
+ */
+const HOST = `127.${1 + ((process.pid >> 16) & 0x7f)}.${(process.pid >> 8) & 0xff}.${process.pid & 0xff}`;
+
+/** Ports below those that the kernel assigns to connections. */
+const API_ADDRESS = `${HOST}:8001`;
+const INTERNAL_ADDRESS = `${HOST}:8002`;
 
 function platformSettings(apiAddress, internalAddress, cloudAddress, stateStoreAddress) {
   return {
@@ -111,21 +110,19 @@
 
 const directory = mkdtempSync(join(tmpdir(), 'precompile-'));
 const settingsPath = join(directory, 'settings.json');
-const apiAddress = `127.0.0.1:${await findFreePort()}`;
-const internalAddress = `127.0.0.1:${await findFreePort()}`;
 const worker = new WorkerStandIn();
-await worker.start(apiAddress);
+await worker.start(API_ADDRESS);
 const settings = platformSettings(
-  apiAddress,
-  internalAddress,
+  API_ADDRESS,
+  INTERNAL_ADDRESS,
   await startCloud(worker),
   await startStateStore(),
 );
 writeFileSync(settingsPath, JSON.stringify(settings));
 
 const { createCodeCache } = startProgram(settingsPath);
-await waitUntilHealthy(apiAddress);
-await runJobs(apiAddress);
+await waitUntilHealthy(API_ADDRESS);
+await runJobs(API_ADDRESS);
 writeFileSync(join(target, 'program.cache'), createCodeCache());
 rmSync(directory, { recursive: true });
 process.exit(0);
