--- a/test/trace-runner.ts
+++ b/test/trace-runner.ts
@@ -207,7 +207,7 @@
       agentEpoch: parseNumber(args['epoch'], 1),
       sequence,
       fencingToken: parseNumber(args['token'], this.scheduler.state.term.fencingToken),
-      preemptionNotice: null,
+      preemptionNotice: args['notice'] === undefined ? null : seconds(Number(args['notice'])),
       tasks: tasks.map(parseReportedTask),
     };
   }
