--- a/test/refused-leader.test.ts
+++ b/test/refused-leader.test.ts
@@ -65,6 +65,13 @@
   for (const id of ['req-1', 'req-2'])
     assert.equal((await call(apis[0], 'POST', '/work', jobBody(id))).status, 201);
   await waitUntil('both tasks run', () => history.running.size === 2);
+  // The tasks may run before the peer's replica holds the jobs, and a test may hang all watches from here on.
+  for (const api of apis)
+    for (const id of ['req-1', 'req-2'])
+      await waitUntil(
+        `the replica of ${api} holds ${id}`,
+        async () => (await call(api, 'GET', `/work/${id}`)).status === 200,
+      );
   const leaderEntry = [...stateStore.items].find(([k]) => k.includes('/part/'));
   const leaderIndex = (leaderEntry?.[1].value as { label: string }).label === 'c0' ? 0 : 1;
   const controllerAt = (n: number) => ({ api: apis[n] ?? '', endpoint: endpoints[n] ?? assert.fail() });
