A worker forgets an attempt only under a token that refuses every copy of its start

Cause, by class: a request that was answered was taken as settled. A direct start that was answered left no trace in the leader, so the worker was told to forget its attempt with the start's own token. A copy of the call that arrived later matched token and agent epoch, and the worker no longer held the attempt.

Change: the leader keeps the token of each direct start until the worker has shown a higher one. A forget goes only in a response with a higher token than those of the attempt's direct starts. The leader has such a token without a write: the revision at which the last compare of its own mod revision succeeded. It shows it to this worker alone, while no start is on its way to it. An unanswered start no longer makes the leader advance its token, by a write and for all workers, for a forget.

--- a/src/core/cluster-scheduler.ts
+++ b/src/core/cluster-scheduler.ts
@@ -6,6 +6,7 @@
 import { onScaleInAnswered } from './capacity/scale-in-requests.js';
 import { onScaleOutAnswered, onScaleOutStarted } from './capacity/scale-out-requests.js';
 import { commandsForHeartbeat } from './commands/heartbeat-commands.js';
+import { fencingTokenFor } from './commands/worker-tokens.js';
 import { onCommandsAnswered } from './reconciliation/command-outcomes.js';
 import { sendCommittedStarts } from './commands/direct-starts.js';
 import type { Event } from './model/events.js';
@@ -15,7 +16,7 @@
 import type { Heartbeat } from './model/heartbeat.js';
 import type { OperatorSettings } from './model/operator-settings.js';
 import type { Duration, Timestamp } from './model/time.js';
-import type { WorkerCommand } from './model/worker-command.js';
+import type { HeartbeatAnswer } from './model/worker-command.js';
 import type { ZonePolicy } from './model/zone-policy.js';
 import { PeriodicMaintenance } from './periodic/maintenance.js';
 import { onJobChanged } from './persistence/job-records.js';
@@ -74,9 +75,15 @@
     recordEventLoopLag(this.state.term, lag);
   }
 
-  /** Returns the commands for the response to a heartbeat that was just handled. */
-  answerHeartbeat(heartbeat: Heartbeat, now: Timestamp): WorkerCommand[] {
-    return commandsForHeartbeat(this.state, heartbeat, now);
+  /** Returns the response to a heartbeat that was just handled. */
+  answerHeartbeat(heartbeat: Heartbeat, now: Timestamp): HeartbeatAnswer {
+    const commands = commandsForHeartbeat(this.state, heartbeat, now);
+    return { fencingToken: this.fencingTokenFor(heartbeat.machineName), commands };
+  }
+
+  /** Returns the fencing token of commands to a machine's worker. */
+  fencingTokenFor(machineName: string): number {
+    return fencingTokenFor(this.state, machineName);
   }
 
   /** Returns the next transaction to commit, or null if there is none. */
@@ -114,7 +121,7 @@
         onTransactionCommitted(state, event.transaction, event.modRevision, now);
         return sendCommittedStarts(state, event.transaction, now);
       case 'leadership-confirmed':
-        return confirmLeadership(state.term, event.confirmedAt);
+        return confirmLeadership(state.term, event.confirmedAt, event.revision);
       case 'token-advanced':
         return advanceFencingToken(state.term, event.fencingToken, now.monotonic);
       case 'machine-types':
--- a/src/core/commands/forgets.ts
+++ b/src/core/commands/forgets.ts
@@ -1,6 +1,6 @@
 /**
- * @file Decides when workers may forget exited tasks: once their results are committed and no start command for them
- * can still arrive. This module owns the pending forgets: the handling of exits queues them, and they are selected for
+ * @file Decides when workers may forget exited tasks: once their results are committed, and with a fencing token under
+ * which no copy of a start command for them is executed. This module owns the pending forgets: the handling of exits queues them, and they are selected for
  * sending and dropped here.
  */
 import { attemptKey, taskKey } from '../model/assignment.js';
@@ -10,8 +10,9 @@
 import type { PendingForget } from '../model/worker-command.js';
 import { chunkIndexOf } from '../records/chunks.js';
 import type { ClusterState } from '../state/cluster-state.js';
-import { type CommandState, attemptMayStillStart } from '../state/command-state.js';
+import { type CommandState, isStartInFlight } from '../state/command-state.js';
 import { getOrCreateMap } from '../state/maps.js';
+import { areDirectStartsFenced, raiseTokenFor } from './worker-tokens.js';
 
 /** Queues a forget command for an exited task, to be sent once the current version of its chunk is committed. */
 export function requestForget(
@@ -36,19 +37,21 @@
   });
 }
 
-/** Returns the pending forgets of the exited tasks that the machine's worker may forget now. */
-export function allowedForgets(state: ClusterState, machine: Machine): PendingForget[] {
-  const allowed: PendingForget[] = [];
-  for (const forget of state.commands.pendingForgets.get(machine.name)?.values() ?? [])
-    if (mayForget(state, machine, forget)) allowed.push(forget);
-  return allowed;
+/**
+ * Returns the forgets for the response to a heartbeat. A worker that has forgotten an attempt would start it again if a
+ * copy of a direct start arrived, so the token of the response is raised if needed, and refuses the copy.
+ */
+export function forgetsToSend(state: ClusterState, machine: Machine): PendingForget[] {
+  const pending = state.commands.pendingForgets.get(machine.name);
+  if (pending === undefined || pending.size === 0 || !machine.hasShownTermToken) return [];
+  const forgets = [...pending.values()].filter((forget) => mayForget(state, machine, forget));
+  raiseTokenFor(state, machine, forgets);
+  return forgets.filter((forget) => areDirectStartsFenced(state, machine.name, forget));
 }
 
 function mayForget(state: ClusterState, machine: Machine, forget: PendingForget): boolean {
   const key = attemptKey(forget.jobId, forget.taskIndex, forget.attempt);
-  // A worker that has forgotten an attempt would start it again if a delayed start command arrived.
-  if (attemptMayStillStart(state.commands, machine.name, key)) return false;
-  if (!machine.hasShownTermToken) return false;
+  if (isStartInFlight(state.commands, machine.name, key)) return false;
   const job = state.jobs.byId.get(forget.jobId);
   // A finished job needs no more results.
   if (job === undefined || forget.chunkIndex === null || job.status !== 'open') return true;
--- a/src/core/commands/heartbeat-commands.ts
+++ b/src/core/commands/heartbeat-commands.ts
@@ -9,8 +9,9 @@
 import type { WorkerCommand } from '../model/worker-command.js';
 import type { ClusterState } from '../state/cluster-state.js';
 import { emitLog } from '../state/log-effects.js';
-import { allowedForgets } from './forgets.js';
+import { forgetsToSend } from './forgets.js';
 import { isStartable } from './start-conditions.js';
+import { fencingTokenFor } from './worker-tokens.js';
 import { forgetCommand, startCommand, stopCommand } from './worker-commands.js';
 
 /**
@@ -37,12 +38,13 @@
   machine.lastAcknowledgedAt = now.monotonic;
   if (heartbeat.agentEpoch !== machine.agentEpoch || heartbeat.sequence !== machine.sequence) return [];
   const commands: WorkerCommand[] = [];
+  const forgets = forgetsToSend(state, machine);
   for (const assignment of machine.assignments.values()) {
     const command = commandForAssignment(state, machine, assignment, now.monotonic);
     if (command !== null) commands.push(command);
   }
   commands.push(...stopsForOrphanedTasks(state, machine));
-  for (const forget of allowedForgets(state, machine)) commands.push(forgetCommand(forget));
+  for (const forget of forgets) commands.push(forgetCommand(forget));
   return commands;
 }
 
@@ -74,7 +76,7 @@
   assignment.startDelivery = {
     kind: 'response',
     sequence: machine.sequence,
-    fencingToken: state.term.fencingToken,
+    fencingToken: fencingTokenFor(state, machine.name),
     sentAt: now,
   };
   assignment.startSentAt ??= now;
--- a/src/core/commands/start-tracking.ts
+++ b/src/core/commands/start-tracking.ts
@@ -1,6 +1,6 @@
 /**
- * @file Tracks start commands that were sent directly: commands in flight, and commands of unknown outcome that may
- * still arrive. Only this module changes the maps of both.
+ * @file Tracks start commands that were sent directly: commands in flight, commands of unknown outcome that may still
+ * arrive, and the tokens of all that a worker may execute once more. Only this module changes these maps.
  */
 import { type Assignment, attemptKey } from '../model/assignment.js';
 import type { Machine } from '../model/machine.js';
@@ -28,6 +28,18 @@
   else inFlight.delete(key);
 }
 
+/** Records that a worker may execute copies of a direct start with the given fencing token, answered or not. */
+export function trackDirectStart(
+  commands: CommandState,
+  machineName: string,
+  { jobId, taskIndex, attempt }: WorkerCommand,
+  fencingToken: number,
+): void {
+  const tokens = getOrCreateMap(commands.directStartTokens, machineName);
+  const key = attemptKey(jobId, taskIndex, attempt);
+  tokens.set(key, Math.max(fencingToken, tokens.get(key) ?? 0));
+}
+
 /** Records that a start command with the given fencing token may still arrive. */
 export function trackUnresolvedStart(
   commands: CommandState,
@@ -41,26 +53,31 @@
   );
 }
 
-/**
- * Drops unresolved start commands with a lower fencing token than the worker has seen, because it will refuse them.
- */
+/** Drops direct starts with a lower fencing token than the worker has shown, because it will refuse them. */
 export function dropFencedStarts(commands: CommandState, machine: Machine): void {
-  const unresolved = commands.unresolvedStarts.get(machine.name);
-  if (unresolved === undefined) return;
-  for (const [attempt, fencingToken] of unresolved)
-    if (machine.fencingToken > fencingToken) unresolved.delete(attempt);
+  dropLowerTokens(commands.unresolvedStarts, machine);
+  dropLowerTokens(commands.directStartTokens, machine);
+}
+
+function dropLowerTokens(tokensByMachine: Map<string, Map<string, number>>, machine: Machine): void {
+  const tokens = tokensByMachine.get(machine.name);
+  if (tokens === undefined) return;
+  for (const [attempt, fencingToken] of tokens)
+    if (machine.fencingToken > fencingToken) tokens.delete(attempt);
+  if (tokens.size === 0) tokensByMachine.delete(machine.name);
 }
 
 /**
- * Drops unresolved start commands for an agent epoch that has ended, because the worker will refuse them. Commands in
- * flight are kept, because their outcome is still to be reported.
+ * Drops direct starts for an agent epoch that has ended, because the worker will refuse them. Commands in flight are
+ * kept, because their outcome is still to be reported.
  */
-export function dropUnresolvedStarts(commands: CommandState, machineName: string): void {
+export function dropStartsOfEndedEpoch(commands: CommandState, machineName: string): void {
   commands.unresolvedStarts.delete(machineName);
+  commands.directStartTokens.delete(machineName);
 }
 
 /** Drops all tracked start commands to a machine that is removed. */
 export function dropStarts(commands: CommandState, machineName: string): void {
-  commands.unresolvedStarts.delete(machineName);
+  dropStartsOfEndedEpoch(commands, machineName);
   commands.startsInFlight.delete(machineName);
 }
--- a/src/core/machines/machine-registry.ts
+++ b/src/core/machines/machine-registry.ts
@@ -27,6 +27,7 @@
   sequence: 0,
   ownSequence: 0,
   fencingToken: 0,
+  raisedToken: 0,
   preemptionAt: null,
   lastAcknowledgedAt: previousLeadersDeadline,
   lastHeartbeatAt: 0n,
--- a/src/core/model/events.ts
+++ b/src/core/model/events.ts
@@ -65,8 +65,15 @@
       readonly transaction: Transaction;
       readonly modRevision: number;
     }
-  /** The state store confirmed the leadership as of the time when the confirmation was requested. */
-  | { readonly kind: 'leadership-confirmed'; readonly confirmedAt: MonotonicTime }
+  /**
+   * The state store confirmed the leadership as of the time when the confirmation was requested, by a compare that
+   * succeeded at the given revision.
+   */
+  | {
+      readonly kind: 'leadership-confirmed';
+      readonly confirmedAt: MonotonicTime;
+      readonly revision: number;
+    }
   /** The leader's own fencing token advanced within the term. */
   | { readonly kind: 'token-advanced'; readonly fencingToken: number }
   /** The cloud's list of machine types was received. */
--- a/src/core/model/machine.ts
+++ b/src/core/model/machine.ts
@@ -43,7 +43,10 @@
   sequence: number;
   /** Highest sequence number of a heartbeat that the worker sent by itself in this agent epoch, 0 before the first. */
   ownSequence: number;
+  /** The fencing token in the newest heartbeat. */
   fencingToken: number;
+  /** Fencing token of this term that is shown to this worker alone, 0 if none is. */
+  raisedToken: number;
   /** When the cloud will preempt the spot machine, according to its preemption notice, or null if it has none. */
   preemptionAt: MonotonicTime | null;
   /**
--- a/src/core/reconciliation/agent-epochs.ts
+++ b/src/core/reconciliation/agent-epochs.ts
@@ -4,7 +4,7 @@
  */
 import { endAssignment } from '../assignments/assignments.js';
 import { dropForgets } from '../commands/forgets.js';
-import { dropUnresolvedStarts } from '../commands/start-tracking.js';
+import { dropStartsOfEndedEpoch } from '../commands/start-tracking.js';
 import type { Machine } from '../model/machine.js';
 import { type MonotonicTime, laterOf } from '../model/time.js';
 import type { ClusterState } from '../state/cluster-state.js';
@@ -36,7 +36,7 @@
   // flight would start a task whose assignment has been ended.
   machine.lastAcknowledgedAt = laterOf(machine.lastAcknowledgedAt, now);
   machine.lastExpiredEpoch = Math.max(machine.lastExpiredEpoch, agentEpoch - 1);
-  dropUnresolvedStarts(state.commands, machine.name);
+  dropStartsOfEndedEpoch(state.commands, machine.name);
   dropForgets(state.commands, machine.name);
   for (const assignment of [...machine.assignments.values()])
     if (assignment.agentEpoch < agentEpoch) endAssignment(state, assignment, false, 'newer agent epoch', now);
--- a/src/core/reconciliation/command-outcomes.ts
+++ b/src/core/reconciliation/command-outcomes.ts
@@ -7,7 +7,7 @@
 import { applyHeartbeat } from '../reconciliation/heartbeat-intake.js';
 import { markReachable } from '../reconciliation/reachability.js';
 import type { ClusterState } from '../state/cluster-state.js';
-import { trackStartAnswered, trackUnresolvedStart } from '../commands/start-tracking.js';
+import { trackDirectStart, trackStartAnswered, trackUnresolvedStart } from '../commands/start-tracking.js';
 
 /**
  * Records the outcome of direct commands, and applies the heartbeat in the response if the worker itself answered.
@@ -29,14 +29,11 @@
   answer: CommandsAnswered,
   command: WorkerCommand,
 ): void {
-  trackStartAnswered(state.commands, answer.machineName, command);
-  // The command may still arrive, unless the worker would refuse it because of a newer agent epoch or a higher fencing
-  // token.
-  if (
-    answer.outcome === 'unknown' &&
-    machine !== undefined &&
-    machine.agentEpoch === answer.agentEpoch &&
-    machine.fencingToken <= answer.fencingToken
-  )
-    trackUnresolvedStart(state.commands, answer.machineName, command, answer.fencingToken);
+  const { machineName, agentEpoch, fencingToken, outcome } = answer;
+  trackStartAnswered(state.commands, machineName, command);
+  if (outcome === 'refused' || machine === undefined) return;
+  // The worker would refuse a copy because of a newer agent epoch or a higher fencing token.
+  if (machine.agentEpoch !== agentEpoch || machine.fencingToken > fencingToken) return;
+  trackDirectStart(state.commands, machineName, command, fencingToken);
+  if (outcome === 'unknown') trackUnresolvedStart(state.commands, machineName, command, fencingToken);
 }
--- a/src/core/reconciliation/fencing.ts
+++ b/src/core/reconciliation/fencing.ts
@@ -4,7 +4,7 @@
  */
 import { startNeverSent } from '../assignments/assignments.js';
 import { requestProbe } from '../commands/probes.js';
-import { attemptKey, taskKey } from '../model/assignment.js';
+import { taskKey } from '../model/assignment.js';
 import type { Machine } from '../model/machine.js';
 import { type Timestamp, seconds } from '../model/time.js';
 import type { ClusterState } from '../state/cluster-state.js';
@@ -101,23 +101,11 @@
         state.config.heartbeatInterval * MAX_HEARTBEAT_INTERVALS_MISSED
     )
       continue;
-    if (blocksForget(state, machineName, unresolved))
-      return `unresolved start blocks a forget: ${machineName}`;
     if (blocksStop(state, machine)) return `unresolved start blocks a stop: ${machineName}`;
   }
   return null;
 }
 
-function blocksForget(
-  state: ClusterState,
-  machineName: string,
-  unresolved: ReadonlyMap<string, number>,
-): boolean {
-  for (const forget of state.commands.pendingForgets.get(machineName)?.values() ?? [])
-    if (unresolved.has(attemptKey(forget.jobId, forget.taskIndex, forget.attempt))) return true;
-  return false;
-}
-
 function blocksStop(state: ClusterState, machine: Machine): boolean {
   for (const assignment of machine.assignments.values())
     if (
--- a/src/core/reconciliation/heartbeat-intake.ts
+++ b/src/core/reconciliation/heartbeat-intake.ts
@@ -33,7 +33,8 @@
   origin: HeartbeatOrigin,
   now: Timestamp,
 ): void {
-  if (heartbeat.fencingToken > state.term.fencingToken) {
+  // The tokens of this term go up to this revision, and those of later leaders are higher.
+  if (heartbeat.fencingToken > state.term.confirmedRevision) {
     state.effects.push({ kind: 'superseded', fencingToken: heartbeat.fencingToken });
     return;
   }
--- a/src/core/state/command-state.ts
+++ b/src/core/state/command-state.ts
@@ -10,6 +10,11 @@
   readonly pendingForgets: Map<string, Map<string, PendingForget>>;
   /** Fencing tokens of start commands that have an unknown outcome and may still arrive, by attempt key. */
   readonly unresolvedStarts: Map<string, Map<string, number>>;
+  /**
+   * Highest fencing token of the direct starts of an attempt that a worker would execute again if a copy arrived once it
+   * has forgotten the attempt, by attempt key. Whether a start was answered makes no difference.
+   */
+  readonly directStartTokens: Map<string, Map<string, number>>;
   /** Number of start commands sent directly to a worker that have no response yet, by attempt key. */
   readonly startsInFlight: Map<string, Map<string, number>>;
   /**
@@ -23,20 +28,25 @@
 export const newCommandState = (): CommandState => ({
   pendingForgets: new Map(),
   unresolvedStarts: new Map(),
+  directStartTokens: new Map(),
   startsInFlight: new Map(),
   absenceProbesDue: new Map(),
 });
 
-/** Whether a start command of the assignment may still reach its machine. */
+/** Whether a direct start of the assignment is in flight, or may still be executed for the first time. */
 export function startMayStillArrive(commands: CommandState, assignment: Assignment): boolean {
+  const { machineName } = assignment;
   const key = attemptKey(assignment.jobId, assignment.taskIndex, assignment.attempt);
-  return attemptMayStillStart(commands, assignment.machineName, key);
-}
-
-/** Whether a start command for an attempt may still reach the machine; `key` is its `attemptKey`. */
-export function attemptMayStillStart(commands: CommandState, machineName: string, key: string): boolean {
   return (
     commands.unresolvedStarts.get(machineName)?.has(key) === true ||
-    (commands.startsInFlight.get(machineName)?.get(key) ?? 0) > 0
+    isStartInFlight(commands, machineName, key)
   );
 }
+
+/** Whether a direct start of an attempt has no outcome yet; `key` is its `attemptKey`. */
+export const isStartInFlight = (commands: CommandState, machineName: string, key: string): boolean =>
+  (commands.startsInFlight.get(machineName)?.get(key) ?? 0) > 0;
+
+/** Whether any direct start to the machine has no outcome yet. */
+export const hasStartInFlight = (commands: CommandState, machineName: string): boolean =>
+  (commands.startsInFlight.get(machineName)?.size ?? 0) > 0;
--- a/src/core/state/term-state.ts
+++ b/src/core/state/term-state.ts
@@ -16,7 +16,7 @@
 
 /** The current leadership term. */
 export interface TermState {
-  /** The current fencing token. It advances within a term. */
+  /** The mod revision of the leader key, which is the fencing token of the term. It advances within a term. */
   fencingToken: number;
   /** The fencing token at the beginning of the term. A worker that reports at least this one has adopted it. */
   readonly firstFencingToken: number;
@@ -24,6 +24,11 @@
   readonly previousLeadersDeadline: MonotonicTime;
   /** Latest time at which the state store is known to have had this process as leader, with an up-to-date replica. */
   confirmedAt: MonotonicTime;
+  /**
+   * Highest revision of the state store at which a compare of the leader key's mod revision succeeded. It is higher than
+   * all tokens of earlier leaders and lower than those of all later ones, so it may serve as a token.
+   */
+  confirmedRevision: number;
   tokenAdvancedAt: MonotonicTime;
   /** Latest time at which a machine sent its first heartbeat of this term. */
   lastWorkerJoinedAt: MonotonicTime;
@@ -38,19 +43,25 @@
   startedAt: term.startedAt,
   previousLeadersDeadline: term.previousLeadersDeadline,
   confirmedAt: term.confirmedAt,
+  confirmedRevision: term.fencingToken,
   tokenAdvancedAt: term.startedAt,
   lastWorkerJoinedAt: term.startedAt,
   eventLoopLag: 0n,
 });
 
-/** Records that the state store confirmed the leadership as of `confirmedAt`. Confirmations may arrive out of order. */
-export function confirmLeadership(term: TermState, confirmedAt: MonotonicTime): void {
+/**
+ * Records that the state store confirmed the leadership as of `confirmedAt`, by a compare that succeeded at `revision`.
+ * Confirmations may arrive out of order.
+ */
+export function confirmLeadership(term: TermState, confirmedAt: MonotonicTime, revision: number): void {
   if (confirmedAt > term.confirmedAt) term.confirmedAt = confirmedAt;
+  term.confirmedRevision = Math.max(term.confirmedRevision, revision);
 }
 
 /** Replaces the fencing token by a higher one. */
 export function advanceFencingToken(term: TermState, fencingToken: number, now: MonotonicTime): void {
   term.fencingToken = fencingToken;
+  term.confirmedRevision = Math.max(term.confirmedRevision, fencingToken);
   term.tokenAdvancedAt = now;
 }
 
--- a/src/edge/leadership/leader-term.ts
+++ b/src/edge/leadership/leader-term.ts
@@ -122,9 +122,9 @@
     // The heartbeat itself may have ended the term by reporting a higher token.
     if (isAborted(signal)) return null;
     const startedAt = currentTime();
-    const commands = this.scheduler.answerHeartbeat(heartbeat, startedAt);
+    const answer = this.scheduler.answerHeartbeat(heartbeat, startedAt);
     if (this.profile.active) this.profile.add('heartbeats', monotonicNow() - startedAt.monotonic);
-    return { fencingToken: this.fencingToken, commands };
+    return answer;
   }
 
   private newContext({ leaseId, renewIntervalMs }: LeadershipGrant): TermContext {
@@ -141,7 +141,7 @@
   private newCommandSender(): WorkerCommandSender {
     return new WorkerCommandSender(
       this.dependencies.maxWorkerConnections,
-      () => this.fencingToken,
+      (machineName) => this.scheduler.fencingTokenFor(machineName),
       (command) => this.mayStart(command),
       ({ batch, fencingToken, calledAt, outcome, heartbeat }) => {
         const { machineName, agentEpoch, commands } = batch;
--- a/src/edge/leadership/leadership-lease.ts
+++ b/src/edge/leadership/leadership-lease.ts
@@ -65,7 +65,7 @@
         result.kind === 'committed' &&
         (await stateStore.waitForRevision(result.revision, CONFIRM_TIMEOUT_MS))
       )
-        this.term.dispatch({ kind: 'leadership-confirmed', confirmedAt });
+        this.term.dispatch({ kind: 'leadership-confirmed', confirmedAt, revision: result.revision });
       if (result.kind === 'conflict' && (await this.key.endTermIfLost())) return;
       await sleep(CONFIRM_INTERVAL_MS, signal);
     }
--- a/src/edge/workers/worker-command-sender.ts
+++ b/src/edge/workers/worker-command-sender.ts
@@ -66,7 +66,7 @@
 
   constructor(
     maxConnections: number,
-    private readonly currentFencingToken: () => number,
+    private readonly fencingTokenFor: (machineName: string) => number,
     /** True if a start may still be sent. Checked when a command is sent, which may be long after it was pushed. */
     private readonly mayStart: (command: WorkerCommand) => boolean,
     private readonly onResult: (result: CommandResult) => void,
@@ -113,7 +113,8 @@
   }
 
   private notSent(batch: CommandBatch): CommandResult {
-    return { batch, fencingToken: this.currentFencingToken(), calledAt: monotonicNow(), ...NOT_EXECUTED };
+    const fencingToken = this.fencingTokenFor(batch.machineName);
+    return { batch, fencingToken, calledAt: monotonicNow(), ...NOT_EXECUTED };
   }
 
   private async request(batch: CommandBatch): Promise<CommandResult> {
@@ -121,7 +122,7 @@
     // leadership was confirmed too long ago, or if its job was cancelled in the meantime.
     if (batch.commands.some((command) => command.op === 'start' && !this.mayStart(command)))
       return this.notSent(batch);
-    const fencingToken = this.currentFencingToken();
+    const fencingToken = this.fencingTokenFor(batch.machineName);
     const calledAt = monotonicNow();
     const response = await this.connections.post(batch.endpoint, {
       path: WORKER_PATHS.commands,
