Log lines and counters from which a repeated start can be read

Cause: the records of the incident show the leader's own output from 61 s on only, and even all of it would not have said under which token and agent epoch the start, stop and forget were sent, nor what allowed them.

At info: 'leadership acquired' with the revision of the replica that was loaded, 'fencing token advanced' with the new token and why, 'start carried out again' for a task that runs although it had exited there and was to be forgotten; in 'fleet summary' the refused direct calls, the repeated starts and what forgets wait for.

--- a/src/core/assignments/assignments.ts
+++ b/src/core/assignments/assignments.ts
@@ -2,7 +2,7 @@
  * @file Life cycle of assignments: creation, restoration from records, stop, and end on proof. It owns the bookkeeping
  * of assignments in chunks, jobs, machines and quotas. It must never end an assignment whose task may still be running.
  */
-import { type Assignment, type StartDelivery, taskKey } from '../model/assignment.js';
+import { type Assignment, type StartDelivery, attemptKey, taskKey } from '../model/assignment.js';
 import type { LogFields } from '../model/effects.js';
 import type { Job } from '../model/job.js';
 import type { Machine } from '../model/machine.js';
@@ -163,6 +163,13 @@
   }
   if (assignment.stopRequest !== null && assignment.stopRequest.gracePeriodS <= gracePeriodS) return;
   assignment.stopRequest = { gracePeriodS, reason, requestedAt: now };
+  emitLog(state, 'stop requested', {
+    attempt: attemptKey(assignment.jobId, assignment.taskIndex, assignment.attempt),
+    machine: assignment.machineName,
+    agentEpoch: assignment.agentEpoch,
+    gracePeriodS,
+    reason,
+  });
   const machine = state.machines.byName.get(assignment.machineName);
   if (machine === undefined) return;
   machine.resources = null;
--- a/src/core/capacity/fleet-summary.ts
+++ b/src/core/capacity/fleet-summary.ts
@@ -1,4 +1,5 @@
 /** @file Logs a summary of the fleet and of the pending jobs for operators. It changes nothing. */
+import { countWaitingForgets } from '../commands/forgets.js';
 import { freeResourcesOf, isUsable } from '../machines/free-resources.js';
 import type { LogFields } from '../model/effects.js';
 import type { Job } from '../model/job.js';
@@ -19,6 +20,8 @@
       ...countPending(state),
       forecastArriving: Math.round(forecast.arriving),
       forecastFinishing: Math.round(forecast.finishing),
+      ...state.commands.counters,
+      waitingForgets: [...countWaitingForgets(state)].map(([reason, count]) => `${reason}: ${count}`),
     },
     'info',
   );
--- a/src/core/commands/direct-starts.ts
+++ b/src/core/commands/direct-starts.ts
@@ -8,6 +8,8 @@
 import type { Transaction } from '../model/transaction.js';
 import type { ClusterState } from '../state/cluster-state.js';
 import { isOverloaded } from '../state/overload.js';
+import type { WorkerCommand } from '../model/worker-command.js';
+import { logCommandSent } from './command-log.js';
 import { isStartable } from './start-conditions.js';
 import { trackStartSent } from './start-tracking.js';
 import { startCommand } from './worker-commands.js';
@@ -55,15 +57,16 @@
   assignments: readonly Assignment[],
   now: MonotonicTime,
 ): void {
+  const commands: WorkerCommand[] = [];
   for (const assignment of assignments) {
     trackStartSent(state.commands, assignment);
     assignment.startDelivery = { kind: 'direct' };
     assignment.startSentAt ??= now;
+    const command = startCommand(assignment);
+    commands.push(command);
+    const { recordVersion } = assignment;
+    logCommandSent(state, machine, command, 'direct', { recordVersion }, now);
   }
-  state.effects.push({
-    kind: 'send-commands',
-    machineName: machine.name,
-    agentEpoch: machine.agentEpoch,
-    commands: assignments.map(startCommand),
-  });
+  const { name: machineName, agentEpoch } = machine;
+  state.effects.push({ kind: 'send-commands', machineName, agentEpoch, commands });
 }
--- a/src/core/commands/forgets.ts
+++ b/src/core/commands/forgets.ts
@@ -12,8 +12,16 @@
 import type { ClusterState } from '../state/cluster-state.js';
 import { type CommandState, isStartInFlight } from '../state/command-state.js';
 import { getOrCreateMap } from '../state/maps.js';
+import { recordRepeatedStart } from './command-log.js';
 import { areDirectStartsFenced, raiseTokenFor } from './worker-tokens.js';
 
+/** How many of the attempts that it has forgotten are remembered of each worker. */
+const MAX_FORGOTTEN_ATTEMPTS = 8;
+
+/** What a forget waits for. */
+type ForgetWait =
+  'token not shown' | 'start in flight' | 'result not committed' | 'higher token' | 'next heartbeat';
+
 /** Queues a forget command for an exited task, to be sent once the current version of its chunk is committed. */
 export function requestForget(
   state: ClusterState,
@@ -43,21 +51,42 @@
  */
 export function forgetsToSend(state: ClusterState, machine: Machine): PendingForget[] {
   const pending = state.commands.pendingForgets.get(machine.name);
-  if (pending === undefined || pending.size === 0 || !machine.hasShownTermToken) return [];
-  const forgets = [...pending.values()].filter((forget) => mayForget(state, machine, forget));
+  if (pending === undefined || pending.size === 0) return [];
+  const forgets = [...pending.values()].filter((forget) => waitReason(state, machine, forget) === null);
   raiseTokenFor(state, machine, forgets);
   return forgets.filter((forget) => areDirectStartsFenced(state, machine.name, forget));
 }
 
-function mayForget(state: ClusterState, machine: Machine, forget: PendingForget): boolean {
+/** Returns what a forget waits for, whatever the token of the response, or null if it waits for nothing. */
+function waitReason(state: ClusterState, machine: Machine, forget: PendingForget): ForgetWait | null {
+  if (!machine.hasShownTermToken) return 'token not shown';
   const key = attemptKey(forget.jobId, forget.taskIndex, forget.attempt);
-  if (isStartInFlight(state.commands, machine.name, key)) return false;
+  if (isStartInFlight(state.commands, machine.name, key)) return 'start in flight';
+  return isResultCommitted(state, forget) ? null : 'result not committed';
+}
+
+function isResultCommitted(state: ClusterState, forget: PendingForget): boolean {
   const job = state.jobs.byId.get(forget.jobId);
   // A finished job needs no more results.
   if (job === undefined || forget.chunkIndex === null || job.status !== 'open') return true;
   return (job.chunks.get(forget.chunkIndex)?.committedVersion ?? 0) >= forget.recordVersion;
 }
 
+/** Counts the pending forgets of all machines by what they wait for. */
+export function countWaitingForgets(state: ClusterState): ReadonlyMap<ForgetWait, number> {
+  const counts = new Map<ForgetWait, number>();
+  for (const [machineName, pending] of state.commands.pendingForgets) {
+    const machine = state.machines.byName.get(machineName);
+    if (machine === undefined) continue;
+    for (const forget of pending.values()) {
+      const isFenced = areDirectStartsFenced(state, machineName, forget);
+      const wait = waitReason(state, machine, forget) ?? (isFenced ? 'next heartbeat' : 'higher token');
+      counts.set(wait, (counts.get(wait) ?? 0) + 1);
+    }
+  }
+  return counts;
+}
+
 /** Drops the pending forgets whose attempts the heartbeat does not list as exited: the worker has executed them. */
 export function dropCompletedForgets(commands: CommandState, heartbeat: Heartbeat): void {
   const pending = commands.pendingForgets.get(heartbeat.machineName);
@@ -67,11 +96,41 @@
       .filter((task) => task.state === 'exited')
       .map((task) => attemptKey(task.jobId, task.taskIndex, task.attempt)),
   );
-  for (const [task, forget] of pending)
-    if (!exited.has(attemptKey(forget.jobId, forget.taskIndex, forget.attempt))) pending.delete(task);
+  for (const [task, forget] of pending) {
+    const key = attemptKey(forget.jobId, forget.taskIndex, forget.attempt);
+    if (exited.has(key)) continue;
+    pending.delete(task);
+    rememberForgotten(commands, heartbeat.machineName, key);
+  }
+}
+
+function rememberForgotten(commands: CommandState, machineName: string, key: string): void {
+  const forgotten = commands.forgottenAttempts.get(machineName) ?? [];
+  forgotten.push(key);
+  if (forgotten.length > MAX_FORGOTTEN_ATTEMPTS) forgotten.shift();
+  commands.forgottenAttempts.set(machineName, forgotten);
+}
+
+/**
+ * Records the tasks that run on a machine although they had exited there: a copy of their start was carried out again.
+ * An attempt is recorded once.
+ */
+export function detectRepeatedStarts(state: ClusterState, machine: Machine): void {
+  const pending = state.commands.pendingForgets.get(machine.name);
+  const forgotten = state.commands.forgottenAttempts.get(machine.name);
+  if ((pending?.size ?? 0) === 0 && forgotten === undefined) return;
+  for (const [key, task] of machine.reportedTasks) {
+    const attempt = attemptKey(task.jobId, task.taskIndex, task.attempt);
+    const index = forgotten?.indexOf(attempt) ?? -1;
+    if (index < 0 && pending?.get(key)?.attempt !== task.attempt) continue;
+    if (index >= 0) forgotten?.splice(index, 1);
+    pending?.delete(key);
+    recordRepeatedStart(state, machine, task);
+  }
 }
 
-/** Drops all pending forgets of a machine, because its worker no longer stores any of the attempts. */
+/** Drops all forgets of a machine, because its worker no longer stores any of the attempts. */
 export function dropForgets(commands: CommandState, machineName: string): void {
   commands.pendingForgets.delete(machineName);
+  commands.forgottenAttempts.delete(machineName);
 }
--- a/src/core/commands/heartbeat-commands.ts
+++ b/src/core/commands/heartbeat-commands.ts
@@ -9,9 +9,10 @@
 import type { WorkerCommand } from '../model/worker-command.js';
 import type { ClusterState } from '../state/cluster-state.js';
 import { emitLog } from '../state/log-effects.js';
+import { type CommandGrounds, logCommandSent } from './command-log.js';
 import { forgetsToSend } from './forgets.js';
 import { isStartable } from './start-conditions.js';
-import { fencingTokenFor } from './worker-tokens.js';
+import { directStartTokenOf, fencingTokenFor } from './worker-tokens.js';
 import { forgetCommand, startCommand, stopCommand } from './worker-commands.js';
 
 /**
@@ -20,6 +21,12 @@
  */
 const MAX_ANSWERED_SEQUENCES = 64;
 
+/** A command, and what allows it. */
+interface PermittedCommand {
+  readonly command: WorkerCommand;
+  readonly grounds: CommandGrounds;
+}
+
 /**
  * Returns the commands for the response to a heartbeat. A delayed heartbeat gets none, because its worker has moved on
  * and the commands would match an outdated task list. Its response may still renew the lease, because a heartbeat can
@@ -37,15 +44,27 @@
     return [];
   machine.lastAcknowledgedAt = now.monotonic;
   if (heartbeat.agentEpoch !== machine.agentEpoch || heartbeat.sequence !== machine.sequence) return [];
-  const commands: WorkerCommand[] = [];
+  const permitted = permittedCommands(state, machine, now.monotonic);
+  for (const { command, grounds } of permitted)
+    logCommandSent(state, machine, command, 'response', grounds, now.monotonic);
+  return permitted.map(({ command }) => command);
+}
+
+function permittedCommands(state: ClusterState, machine: Machine, now: MonotonicTime): PermittedCommand[] {
+  const permitted: PermittedCommand[] = [];
+  // First, because it may raise the worker's fencing token.
   const forgets = forgetsToSend(state, machine);
   for (const assignment of machine.assignments.values()) {
-    const command = commandForAssignment(state, machine, assignment, now.monotonic);
-    if (command !== null) commands.push(command);
+    const command = commandForAssignment(state, machine, assignment, now);
+    if (command !== null) permitted.push(command);
   }
-  commands.push(...stopsForOrphanedTasks(state, machine));
-  for (const forget of forgets) commands.push(forgetCommand(forget));
-  return commands;
+  permitted.push(...stopsForOrphanedTasks(state, machine));
+  for (const forget of forgets)
+    permitted.push({
+      command: forgetCommand(forget),
+      grounds: { directStartToken: directStartTokenOf(state, machine.name, forget) },
+    });
+  return permitted;
 }
 
 /**
@@ -67,11 +86,15 @@
   machine: Machine,
   assignment: Assignment,
   now: MonotonicTime,
-): WorkerCommand | null {
+): PermittedCommand | null {
   const reported = machine.reportedTasks.get(taskKey(assignment.jobId, assignment.taskIndex));
   const isReported = reported !== undefined && reported.attempt === assignment.attempt;
-  if (assignment.stopRequest !== null)
-    return isReported ? stopCommand(assignment, remainingGracePeriodS(state, assignment, now)) : null;
+  if (assignment.stopRequest !== null) {
+    if (!isReported) return null;
+    const gracePeriodS = remainingGracePeriodS(state, assignment, now);
+    const { reason } = assignment.stopRequest;
+    return { command: stopCommand(assignment, gracePeriodS), grounds: { gracePeriodS, reason } };
+  }
   if (isReported || !isStartable(state, machine, assignment, now)) return null;
   assignment.startDelivery = {
     kind: 'response',
@@ -80,7 +103,7 @@
     sentAt: now,
   };
   assignment.startSentAt ??= now;
-  return startCommand(assignment);
+  return { command: startCommand(assignment), grounds: { recordVersion: assignment.recordVersion } };
 }
 
 /**
@@ -101,8 +124,8 @@
  * Returns stop commands for tasks on the machine that have no assignment. They were proven gone before, so any that
  * still run must be stopped.
  */
-function stopsForOrphanedTasks(state: ClusterState, machine: Machine): WorkerCommand[] {
-  const stops: WorkerCommand[] = [];
+function stopsForOrphanedTasks(state: ClusterState, machine: Machine): PermittedCommand[] {
+  const stops: PermittedCommand[] = [];
   if (!machine.hasShownTermToken) return stops;
   for (const [key, task] of machine.reportedTasks) {
     if (machine.assignments.get(key)?.attempt === task.attempt) continue;
@@ -112,7 +135,7 @@
       { machine: machine.name, task: key, attempt: task.attempt },
       'info',
     );
-    stops.push(stopCommand(task, 0));
+    stops.push({ command: stopCommand(task, 0), grounds: { reason: 'no assignment' } });
   }
   return stops;
 }
--- a/src/core/commands/worker-tokens.ts
+++ b/src/core/commands/worker-tokens.ts
@@ -14,16 +14,22 @@
 export const fencingTokenFor = (state: ClusterState, machineName: string): number =>
   Math.max(state.term.fencingToken, state.machines.byName.get(machineName)?.raisedToken ?? 0);
 
+/** Returns the highest token of the direct starts of an attempt whose copies its worker may execute, or null. */
+export const directStartTokenOf = (
+  state: ClusterState,
+  machineName: string,
+  { jobId, taskIndex, attempt }: PendingForget,
+): number | null =>
+  state.commands.directStartTokens.get(machineName)?.get(attemptKey(jobId, taskIndex, attempt)) ?? null;
+
 /** True if the worker refuses every copy of the direct starts of an attempt once it has the machine's present token. */
 export function areDirectStartsFenced(
   state: ClusterState,
   machineName: string,
-  { jobId, taskIndex, attempt }: PendingForget,
+  forget: PendingForget,
 ): boolean {
-  const startToken = state.commands.directStartTokens
-    .get(machineName)
-    ?.get(attemptKey(jobId, taskIndex, attempt));
-  return startToken === undefined || startToken < fencingTokenFor(state, machineName);
+  const startToken = directStartTokenOf(state, machineName, forget);
+  return startToken === null || startToken < fencingTokenFor(state, machineName);
 }
 
 /**
--- a/src/core/reconciliation/assignment-reconciliation.ts
+++ b/src/core/reconciliation/assignment-reconciliation.ts
@@ -3,6 +3,7 @@
  * the assignments, and ends those whose tasks the heartbeat proves gone.
  */
 import { endAssignment } from '../assignments/assignments.js';
+import { detectRepeatedStarts } from '../commands/forgets.js';
 import { recordImageUse } from '../machines/image-cache.js';
 import { type Assignment, attemptKey, taskKey } from '../model/assignment.js';
 import type { Heartbeat, HeartbeatOrigin, ReportedTask } from '../model/heartbeat.js';
@@ -41,6 +42,7 @@
   for (const assignment of [...machine.assignments.values()])
     if (assignment.agentEpoch === heartbeat.agentEpoch) reconcileAssignment(reconciliation, assignment);
   detectLostStarts(state, machine, now);
+  detectRepeatedStarts(state, machine);
   detectOrphanedTasks(state, machine);
 }
 
--- a/src/core/reconciliation/command-outcomes.ts
+++ b/src/core/reconciliation/command-outcomes.ts
@@ -1,4 +1,5 @@
 /** @file Handles the outcomes of commands that were sent directly to workers. */
+import { recordCallOutcome } from '../commands/command-log.js';
 import type { CommandsAnswered } from '../model/events.js';
 import type { Machine } from '../model/machine.js';
 import type { Timestamp } from '../model/time.js';
@@ -14,6 +15,7 @@
  */
 export function onCommandsAnswered(state: ClusterState, answer: CommandsAnswered, now: Timestamp): void {
   const machine = state.machines.byName.get(answer.machineName);
+  recordCallOutcome(state, answer);
   if (answer.outcome !== 'unknown' && answer.heartbeat !== null && machine !== undefined)
     markReachable(state, machine);
   for (const command of answer.commands)
--- a/src/core/state/command-state.ts
+++ b/src/core/state/command-state.ts
@@ -4,6 +4,14 @@
 import type { MonotonicTime } from '../model/time.js';
 import type { PendingForget } from '../model/worker-command.js';
 
+/** Counts since the beginning of the term. */
+interface CommandCounters {
+  /** Direct calls with commands that their worker refused. */
+  refusedCalls: number;
+  /** Tasks that a worker has started again after they had exited. */
+  repeatedStarts: number;
+}
+
 /** Commands to workers. The keys of each map are machine names, those of the inner maps tasks or attempts. */
 export interface CommandState {
   /** Exited tasks that a worker may forget once their results are committed, by task key. */
@@ -22,6 +30,9 @@
    * direct call can prove it.
    */
   readonly absenceProbesDue: Map<string, MonotonicTime>;
+  /** The last attempts that each worker has forgotten, by attempt key. */
+  readonly forgottenAttempts: Map<string, string[]>;
+  readonly counters: CommandCounters;
 }
 
 /** Returns a state without commands. */
@@ -31,6 +42,8 @@
   directStartTokens: new Map(),
   startsInFlight: new Map(),
   absenceProbesDue: new Map(),
+  forgottenAttempts: new Map(),
+  counters: { refusedCalls: 0, repeatedStarts: 0 },
 });
 
 /** Whether a direct start of the assignment is in flight, or may still be executed for the first time. */
--- a/src/edge/leadership/fencing-token-advancer.ts
+++ b/src/edge/leadership/fencing-token-advancer.ts
@@ -24,12 +24,14 @@
   async advanceIfRequested(signal: AbortSignal): Promise<void> {
     if (this.requestReason === null) return;
     const { logger, stateStore } = this.term.dependencies;
-    logger.info({ reason: this.requestReason }, 'fencing token advance started');
+    const reason = this.requestReason;
+    logger.info({ reason }, 'fencing token advance started');
     this.requestReason = null;
     const result = await stateStore.commit([this.key.condition()], [this.key.rewrite()]);
     if (isAborted(signal)) return;
-    if (result.kind === 'committed')
+    if (result.kind === 'committed') {
+      logger.info({ reason, fencingToken: result.revision }, 'fencing token advanced');
       this.term.dispatch({ kind: 'token-advanced', fencingToken: result.revision });
-    else if (result.kind === 'conflict') await this.key.endTermIfLost();
+    } else if (result.kind === 'conflict') await this.key.endTermIfLost();
   }
 }
--- a/src/edge/leadership/replica-loader.ts
+++ b/src/edge/leadership/replica-loader.ts
@@ -29,7 +29,12 @@
   restoreZones(term);
   const { term: termState, jobs } = term.scheduler.state;
   logger.info(
-    { fencingToken: termState.fencingToken, jobs: jobs.byId.size, pages: pages.length },
+    {
+      fencingToken: termState.fencingToken,
+      revision: stateStore.revision,
+      jobs: jobs.byId.size,
+      pages: pages.length,
+    },
     'leadership acquired',
   );
 }
