--- a/src/core/commands/worker-tokens.ts
+++ b/src/core/commands/worker-tokens.ts
@@ -10,6 +10,12 @@
 import { hasStartInFlight } from '../state/command-state.js';
 import { emitLog } from '../state/log-effects.js';
 
+/**
+ * With this many forgets to send, the token is raised even while a start is on its way. A heartbeat ends at 64 KiB, which
+ * is several hundred exited attempts, and a start that is refused is sent again in the next response.
+ */
+const MAX_FORGETS_BEHIND_STARTS = 100;
+
 /** Returns the fencing token of commands to a machine's worker. */
 export const fencingTokenFor = (state: ClusterState, machineName: string): number =>
   Math.max(state.term.fencingToken, state.machines.byName.get(machineName)?.raisedToken ?? 0);
@@ -34,7 +40,8 @@
 
 /**
  * Raises the token of a machine's worker if one of the attempts that it is to forget was started directly under the
- * present one. A start on its way to the worker would be refused for its older token, so the token is not raised then.
+ * present one. A start on its way to the worker would be refused for its older token, so the token is normally not raised
+ * then.
  */
 export function raiseTokenFor(
   state: ClusterState,
@@ -43,7 +50,7 @@
 ): void {
   const { confirmedRevision } = state.term;
   if (confirmedRevision <= fencingTokenFor(state, machine.name)) return;
-  if (hasStartInFlight(state.commands, machine.name)) return;
+  if (hasStartInFlight(state.commands, machine.name) && forgets.length < MAX_FORGETS_BEHIND_STARTS) return;
   if (forgets.every((forget) => areDirectStartsFenced(state, machine.name, forget))) return;
   machine.raisedToken = confirmedRevision;
   emitLog(state, 'worker token raised', { machine: machine.name, fencingToken: confirmedRevision });
--- a/test/repeated-starts.test.ts
+++ b/test/repeated-starts.test.ts
@@ -10,8 +10,12 @@
 
 const START = { op: 'start' as const, jobId: 'j', taskIndex: 0, attempt: 1 };
 
-const reported = (state: ReportedTask['state'], exitReason: string | null = null): ReportedTask => ({
-  ...{ jobId: 'j', taskIndex: 0, attempt: 1, state, exitReason, checkpointed: false },
+const reported = (
+  state: ReportedTask['state'],
+  exitReason: string | null = null,
+  taskIndex = 0,
+): ReportedTask => ({
+  ...{ jobId: 'j', taskIndex, attempt: 1, state, exitReason, checkpointed: false },
 });
 
 /** A scheduler with a machine, and all its log lines. */
@@ -103,3 +107,18 @@
     [[1, ['result not committed: 1']]],
   );
 });
+
+test('many forgets do not wait for a start that is on its way', () => {
+  const logged = new LoggedScheduler();
+  logged.startJob();
+  logged.confirm(3);
+  const exitedTasks = (count: number): ReportedTask[] =>
+    Array.from({ length: count }, (_, n) => reported('exited', 'stopped', n + 1));
+  const call = { machineName: 'm1', agentEpoch: 1, fencingToken: 1, calledAt: timeAt(1).monotonic };
+  const commands = exitedTasks(100).map(({ taskIndex }) => ({ ...START, taskIndex }));
+  logged.handle({ kind: 'commands-answered', ...call, commands, outcome: 'executed', heartbeat: null });
+  logged.heartbeat(...exitedTasks(99));
+  assert.equal(logged.scheduler.fencingTokenFor('m1'), 1);
+  logged.heartbeat(...exitedTasks(100));
+  assert.equal(logged.scheduler.fencingTokenFor('m1'), 3);
+});
--- a/test/standins/state-store.ts
+++ b/test/standins/state-store.ts
@@ -52,6 +52,8 @@
   transactionFault: (body: Record<string, unknown>) => TransactionFault | null = () => null;
   slowCommitMs = 400;
   lateResponseMs = 1400;
+  /** Called with each transaction with writes that was committed and answered. */
+  onCommitted: (body: Record<string, unknown>) => void = () => undefined;
   /** If true, watches return no changes, as on a connection that hangs. */
   watchesHang = false;
   /** Number of requests of all kinds that were received. */
@@ -116,7 +118,7 @@
   private answerTransaction(body: Record<string, unknown>): Reply | Promise<Reply> {
     this.transactions.push(body);
     const fault = this.transactionFault(body);
-    if (fault === null) return this.commit(body);
+    if (fault === null) return this.commitAndAnswer(body);
     if (fault === 'late-response') {
       const reply = this.commit(body);
       return replyAfter(this.lateResponseMs, () => reply);
@@ -127,6 +129,12 @@
     return { status: 504, body: {} };
   }
 
+  private commitAndAnswer(body: Record<string, unknown>): Reply {
+    const reply = this.commit(body);
+    if (reply.status === 200 && (body['writes'] as unknown[]).length > 0) this.onCommitted(body);
+    return reply;
+  }
+
   private readItem(key: string): Reply {
     const item = this.items.get(key);
     if (item === undefined) return { status: 404, body: { ledgerRev: this.revision } };
--- a/test/standins/worker.ts
+++ b/test/standins/worker.ts
@@ -31,6 +31,8 @@
   startCount = 0;
   /** The time of each task's latest start. */
   readonly startedAt = new Map<string, bigint>();
+  /** Called after each start. */
+  onStart: (task: string) => void = () => undefined;
 
   /** Records a start, and a conflict if the task is running already. */
   recordStart(task: string, machine: string): void {
@@ -39,6 +41,7 @@
     if (other !== undefined) this.conflicts.push(`${task} runs on ${other} and ${machine}`);
     this.running.set(task, machine);
     this.startedAt.set(task, process.hrtime.bigint());
+    this.onStart(task);
   }
 }
 
