Forgets: the detection of repeated starts is a module of its own

Cause: forgets.ts had two jobs, to decide on forgets and to detect tasks that a worker has started again. Change: repeated-starts.ts has the second with its constant; nothing behaves differently.

--- a/src/core/commands/forgets.ts
+++ b/src/core/commands/forgets.ts
@@ -1,7 +1,7 @@
 /**
  * @file Decides when workers may forget exited tasks: once their results are committed, and with a fencing token under
- * which no copy of a start command for them is executed. This module owns the pending forgets: the handling of exits queues them, and they are selected for
- * sending and dropped here.
+ * which no copy of a start command for them is executed. This module owns the pending forgets: the handling of exits
+ * queues them, and they are selected for sending and dropped here.
  */
 import { attemptKey, taskKey } from '../model/assignment.js';
 import type { Heartbeat } from '../model/heartbeat.js';
@@ -12,12 +12,9 @@
 import type { ClusterState } from '../state/cluster-state.js';
 import { type CommandState, isStartInFlight } from '../state/command-state.js';
 import { getOrCreateMap } from '../state/maps.js';
-import { recordRepeatedStart } from './command-log.js';
+import { rememberForgotten } from './repeated-starts.js';
 import { areDirectStartsFenced, raiseTokenFor } from './worker-tokens.js';
 
-/** How many of the attempts that it has forgotten are remembered of each worker. */
-const MAX_FORGOTTEN_ATTEMPTS = 8;
-
 /** What a forget waits for. */
 type ForgetWait =
   'token not shown' | 'start in flight' | 'result not committed' | 'higher token' | 'next heartbeat';
@@ -104,31 +101,6 @@
   }
 }
 
-function rememberForgotten(commands: CommandState, machineName: string, key: string): void {
-  const forgotten = commands.forgottenAttempts.get(machineName) ?? [];
-  forgotten.push(key);
-  if (forgotten.length > MAX_FORGOTTEN_ATTEMPTS) forgotten.shift();
-  commands.forgottenAttempts.set(machineName, forgotten);
-}
-
-/**
- * Records the tasks that run on a machine although they had exited there: a copy of their start was carried out again.
- * An attempt is recorded once.
- */
-export function detectRepeatedStarts(state: ClusterState, machine: Machine): void {
-  const pending = state.commands.pendingForgets.get(machine.name);
-  const forgotten = state.commands.forgottenAttempts.get(machine.name);
-  if ((pending?.size ?? 0) === 0 && forgotten === undefined) return;
-  for (const [key, task] of machine.reportedTasks) {
-    const attempt = attemptKey(task.jobId, task.taskIndex, task.attempt);
-    const index = forgotten?.indexOf(attempt) ?? -1;
-    if (index < 0 && pending?.get(key)?.attempt !== task.attempt) continue;
-    if (index >= 0) forgotten?.splice(index, 1);
-    pending?.delete(key);
-    recordRepeatedStart(state, machine, task);
-  }
-}
-
 /** Drops all forgets of a machine, because its worker no longer stores any of the attempts. */
 export function dropForgets(commands: CommandState, machineName: string): void {
   commands.pendingForgets.delete(machineName);
--- a/src/core/reconciliation/assignment-reconciliation.ts
+++ b/src/core/reconciliation/assignment-reconciliation.ts
@@ -3,7 +3,7 @@
  * the assignments, and ends those whose tasks the heartbeat proves gone.
  */
 import { endAssignment } from '../assignments/assignments.js';
-import { detectRepeatedStarts } from '../commands/forgets.js';
+import { detectRepeatedStarts } from '../commands/repeated-starts.js';
 import { recordImageUse } from '../machines/image-cache.js';
 import { type Assignment, attemptKey, taskKey } from '../model/assignment.js';
 import type { Heartbeat, HeartbeatOrigin, ReportedTask } from '../model/heartbeat.js';
