Zone record: a late copy of an older write no longer replaces a newer record

What callers saw: nothing directly. With zone recovery on, the next leader could start from an old record: a zone that was healthy again counted as lost or held down, and got no work for a while, or the reverse.

It was found while filling the table of requests in docs/safety.md ('a commit whose compares don't cover what it writes').

--- a/packages/zone-recovery/test/loopback.test.ts
+++ b/packages/zone-recovery/test/loopback.test.ts
@@ -219,3 +219,14 @@
   await pause(1500);
   checkNotMoved(before);
 });
+
+/** Guards against an old zone record: its write compared the leader key alone, which does not change between records. */
+test('late copies of zone records that were written do not replace the newest one', () => {
+  const isZoneWrite = ({ writes }: { writes?: { write?: string }[] }): boolean =>
+    writes?.some(({ write }) => write === zoneRecordKey('all')) === true;
+  const copies = stateStore.transactions.filter(isZoneWrite);
+  assert.ok(copies.length > 1, 'fewer than two zone records were written');
+  const newest = storedPhases();
+  const committed = copies.filter((copy) => stateStore.commit(copy).status === 200);
+  assert.deepEqual([committed.length, storedPhases()], [0, newest]);
+});
--- a/src/edge/leadership/zone-record-writer.ts
+++ b/src/edge/leadership/zone-record-writer.ts
@@ -16,9 +16,11 @@
  */
 const WRITE_INTERVAL_MS = 1000;
 
-/** Writes the latest zone record, on condition that this process is the leader. */
+/** Writes the latest zone record, on condition that this process is the leader and that the record is unchanged. */
 export class ZoneRecordWriter {
   private unwritten: { readonly record: unknown } | null = null;
+  /** Mod revision of the record after the last write that was answered, 0 before the first. */
+  private writtenRevision = 0;
   private readonly wakeSignal = new WakeSignal();
 
   constructor(
@@ -38,18 +40,30 @@
   }
 
   private async run(signal: AbortSignal): Promise<void> {
-    const { stateStore, partition } = this.term.dependencies;
     while (!signal.aborted) {
       await this.wakeSignal.wait(WRITE_INTERVAL_MS, signal);
       const next = this.unwritten;
       if (next === null || isAborted(signal)) continue;
-      const result = await stateStore.commit(
-        [this.key.condition()],
-        [{ kind: 'put', key: zoneRecordKey(partition), value: next.record }],
-      );
+      const isWritten = await this.write(next.record);
       // A newer record may have been saved while this one was being written.
-      if (result.kind === 'committed' && this.unwritten === next) this.unwritten = null;
+      if (isWritten && this.unwritten === next) this.unwritten = null;
       await sleep(jittered(WRITE_INTERVAL_MS), signal);
     }
   }
+
+  /** Writes a record. Returns false if it was not written, or if that is unknown: then it is to be written again. */
+  private async write(record: unknown): Promise<boolean> {
+    const { stateStore, partition } = this.term.dependencies;
+    const key = zoneRecordKey(partition);
+    // After a write of unknown outcome the replica shows the record's revision.
+    const replicaRevision = stateStore.replica.get(key)?.modRevision ?? 0;
+    const modRevision = Math.max(this.writtenRevision, replicaRevision);
+    const result = await stateStore.commit(
+      [this.key.condition(), { key, modRevision }],
+      [{ kind: 'put', key, value: record }],
+    );
+    if (result.kind !== 'committed') return false;
+    this.writtenRevision = result.revision;
+    return true;
+  }
 }
