Heartbeats: repeated starts are looked for among orphaned tasks only

Change: only a task without an assignment can be a repeated start; starts are dropped when a heartbeat shows a higher token.

--- a/src/core/commands/repeated-starts.ts
+++ b/src/core/commands/repeated-starts.ts
@@ -2,7 +2,8 @@
  * @file Detects tasks that run on a machine although they had exited there: a worker has carried out a copy of their
  * start. Nothing should bring that about (docs/safety.md, point 4), so it is logged and counted.
  */
-import { attemptKey } from '../model/assignment.js';
+import { attemptKey, taskKey } from '../model/assignment.js';
+import type { ReportedTask } from '../model/heartbeat.js';
 import type { Machine } from '../model/machine.js';
 import type { ClusterState } from '../state/cluster-state.js';
 import type { CommandState } from '../state/command-state.js';
@@ -20,19 +21,16 @@
 }
 
 /**
- * Records the tasks that run on a machine although they had exited there: a copy of their start was carried out again.
- * An attempt is recorded once.
+ * Records a task that runs on a machine without an assignment if it had exited there: a copy of its start was carried
+ * out again. An attempt is recorded once.
  */
-export function detectRepeatedStarts(state: ClusterState, machine: Machine): void {
+export function detectRepeatedStart(state: ClusterState, machine: Machine, task: ReportedTask): void {
   const pending = state.commands.pendingForgets.get(machine.name);
-  const forgotten = state.commands.forgottenAttempts.get(machine.name);
-  if ((pending?.size ?? 0) === 0 && forgotten === undefined) return;
-  for (const [key, task] of machine.reportedTasks) {
-    const attempt = attemptKey(task.jobId, task.taskIndex, task.attempt);
-    const index = forgotten?.indexOf(attempt) ?? -1;
-    if (index < 0 && pending?.get(key)?.attempt !== task.attempt) continue;
-    if (index >= 0) forgotten?.splice(index, 1);
-    pending?.delete(key);
-    recordRepeatedStart(state, machine, task);
-  }
+  const forgotten = state.commands.forgottenAttempts.get(machine.name) ?? [];
+  const key = taskKey(task.jobId, task.taskIndex);
+  const index = forgotten.indexOf(attemptKey(task.jobId, task.taskIndex, task.attempt));
+  if (index < 0 && pending?.get(key)?.attempt !== task.attempt) return;
+  if (index >= 0) forgotten.splice(index, 1);
+  pending?.delete(key);
+  recordRepeatedStart(state, machine, task);
 }
--- a/src/core/reconciliation/assignment-reconciliation.ts
+++ b/src/core/reconciliation/assignment-reconciliation.ts
@@ -3,7 +3,7 @@
  * the assignments, and ends those whose tasks the heartbeat proves gone.
  */
 import { endAssignment } from '../assignments/assignments.js';
-import { detectRepeatedStarts } from '../commands/repeated-starts.js';
+import { detectRepeatedStart } from '../commands/repeated-starts.js';
 import { recordImageUse } from '../machines/image-cache.js';
 import { type Assignment, attemptKey, taskKey } from '../model/assignment.js';
 import type { Heartbeat, HeartbeatOrigin, ReportedTask } from '../model/heartbeat.js';
@@ -42,7 +42,6 @@
   for (const assignment of [...machine.assignments.values()])
     if (assignment.agentEpoch === heartbeat.agentEpoch) reconcileAssignment(reconciliation, assignment);
   detectLostStarts(state, machine, now);
-  detectRepeatedStarts(state, machine);
   detectOrphanedTasks(state, machine);
 }
 
@@ -85,8 +84,11 @@
 function detectOrphanedTasks(state: ClusterState, machine: Machine): void {
   const hadOrphanedTasks = machine.hasOrphanedTasks;
   machine.hasOrphanedTasks = false;
-  for (const [key, task] of machine.reportedTasks)
-    if (machine.assignments.get(key)?.attempt !== task.attempt) machine.hasOrphanedTasks = true;
+  for (const [key, task] of machine.reportedTasks) {
+    if (machine.assignments.get(key)?.attempt === task.attempt) continue;
+    machine.hasOrphanedTasks = true;
+    detectRepeatedStart(state, machine, task);
+  }
   if (hadOrphanedTasks || machine.hasOrphanedTasks) machine.resources = null;
   if (hadOrphanedTasks && !machine.hasOrphanedTasks) state.scheduling.cycleNeeded = true;
 }
--- a/src/core/reconciliation/heartbeat-intake.ts
+++ b/src/core/reconciliation/heartbeat-intake.ts
@@ -58,9 +58,10 @@
     return;
   }
   const wasUsable = isUsable(state, machine, now.monotonic);
+  const showsHigherToken = heartbeat.fencingToken > machine.fencingToken;
   updateFromHeartbeat(state, machine, heartbeat, now);
   if (origin.kind === 'worker') recordOwnSequence(machine, heartbeat);
-  dropFencedStarts(state.commands, machine);
+  if (showsHigherToken) dropFencedStarts(state.commands, machine);
   reconcileAssignments(state, machine, heartbeat, origin, now.monotonic);
   if (isUsable(state, machine, now.monotonic) !== wasUsable) state.scheduling.cycleNeeded = true;
 }
