--- a/measure/load.ts
+++ b/measure/load.ts
@@ -6,7 +6,13 @@
 import { join } from 'node:path';
 import { call, listen } from '../test/standins/http.js';
 import { measurePeerLinkBytes } from './peer-link.js';
-import { reserveAddress, jobBody, platformSettings, waitFor } from '../test/standins/cluster.js';
+import {
+  MACHINE_TYPE_BODY,
+  reserveAddress,
+  jobBody,
+  platformSettings,
+  waitFor,
+} from '../test/standins/cluster.js';
 import { StateStoreStandIn } from '../test/standins/state-store.js';
 import { TaskHistory, WorkerStandIn } from '../test/standins/worker.js';
 
@@ -21,19 +27,6 @@
   .slice(2)
   .map(Number);
 
-const MACHINE_TYPE = {
-  label: 'big',
-  vcpus: 8,
-  gpus: 2,
-  memGb: 64,
-  localGb: 100,
-  fetchGbPerS: 1,
-  rate: 10,
-  spotPrice: 4,
-  bootS: 30,
-  halls: ['east', 'west'],
-};
-
 const LEASE_S = 11;
 
 const pause = (ms: number): Promise<void> => new Promise((done) => setTimeout(done, ms));
@@ -211,7 +204,7 @@
   let workers: WorkerStandIn[] = [];
   const cloud = await listen((_method, url) =>
     url.pathname === '/flavors'
-      ? { status: 200, body: { builds: [MACHINE_TYPE] } }
+      ? { status: 200, body: { builds: [MACHINE_TYPE_BODY] } }
       : { status: 200, body: { rigs: workers.map(inventoryEntry), hasNext: false } },
   );
   const settingsOf = (controller: Controller): unknown => {
--- a/packages/zone-recovery/test/loopback.test.ts
+++ b/packages/zone-recovery/test/loopback.test.ts
@@ -10,6 +10,7 @@
 import { zoneRecordKey } from '../../../src/wire/keys.js';
 import { call, listen } from '../../../test/standins/http.js';
 import {
+  MACHINE_TYPE_BODY,
   jobBody,
   reserveAddress,
   platformSettings,
@@ -38,10 +39,7 @@
 const startByLabel = new Map<string, () => void>();
 let closeCloud: () => void = () => undefined;
 
-const MACHINE_TYPE = {
-  ...{ label: 'big', vcpus: 8, gpus: 2, memGb: 64, localGb: 100, fetchGbPerS: 1, rate: 10, spotPrice: 4 },
-  ...{ bootS: 30, halls: ZONES },
-};
+const MACHINE_TYPE = { ...MACHINE_TYPE_BODY, halls: ZONES };
 
 const inventoryEntry = (worker: WorkerStandIn): unknown => ({
   ...{ ref: worker.name, endpoint: worker.address, build: 'big', hall: worker.zone, loaners: false },
--- a/test/simulation/simulation.ts
+++ b/test/simulation/simulation.ts
@@ -6,7 +6,6 @@
 import type { Effect } from '../../src/core/model/effects.js';
 import type { Event } from '../../src/core/model/events.js';
 import type { Heartbeat } from '../../src/core/model/heartbeat.js';
-import type { JobRecord } from '../../src/core/model/job.js';
 import { seconds, toSeconds, type Timestamp } from '../../src/core/model/time.js';
 import type { Transaction } from '../../src/core/model/transaction.js';
 import type { HeartbeatAnswer, WorkerCommand } from '../../src/core/model/worker-command.js';
@@ -15,9 +14,10 @@
   previousLeadersDeadlineFrom,
 } from '../../src/core/state/leadership-timing.js';
 import { DEFAULT_SETTINGS } from '../../src/edge/config/operator-settings.js';
-import { CLUSTER_CONFIG, MACHINE_TYPE, jobSpec } from '../fixtures/cluster-config.js';
+import { CLUSTER_CONFIG, MACHINE_TYPE } from '../fixtures/cluster-config.js';
 import { RequestCopies } from './request-copies.js';
 import { SimulatedStateStore } from './state-store.js';
+import { SimulatedUsers } from './users.js';
 import { SimulatedWorker } from './worker.js';
 
 /** A worker drops a response that arrives later than this after its heartbeat was sent, in seconds. */
@@ -49,6 +49,7 @@
   private previousLeader: ClusterScheduler | null = null;
   private readonly workers: SimulatedWorker[] = [];
   readonly store = new SimulatedStateStore();
+  private readonly users = new SimulatedUsers(this.store, this.workers, (n) => this.randomBelow(n));
   private readonly messages: { due: number; run: () => void }[] = [];
   private committing = false;
   startCount = 0;
@@ -407,53 +408,14 @@
   }
 
   private submitJob(stepIndex: number): void {
-    const isGang = this.randomBelow(4) === 0;
-    const team = (['red', 'blue', 'green'] as const)[this.randomBelow(3)] ?? 'red';
-    const id = `j${stepIndex}`;
-    const spec = jobSpec(id, {
-      kind: isGang ? 'gang' : 'array',
-      taskCount: 1 + this.randomBelow(3),
-      team,
-      priority: this.randomBelow(3) === 0 ? 'high' : 'normal',
-      dependencies: this.options.withDependencies === true ? this.randomDependencies() : [],
-    });
-    const record: JobRecord = { spec, submittedAt: this.now().wall, status: 'open' };
-    const modRevision = this.store.putJob(id, record, null);
-    this.handleEvent({ kind: 'job-changed', id, record, modRevision });
-  }
-
-  /** Dependencies for a new job: recently submitted jobs, of any status, or none. */
-  private randomDependencies(): string[] {
-    const recentJobs = [...this.store.jobs.keys()].slice(-4);
-    const first = recentJobs[this.randomBelow(8)];
-    const second = recentJobs[this.randomBelow(16)];
-    return [...new Set([first, second].filter((id) => id !== undefined))];
+    const withDependencies = this.options.withDependencies === true;
+    const change = this.users.submit(`j${stepIndex}`, withDependencies, this.now().wall);
+    this.handleEvent({ kind: 'job-changed', ...change });
   }
 
   private cancelJob(): void {
-    // Users cancel jobs that were already cancelled through a dependency as often as others; that changes nothing.
-    const cancellableJobs = [...this.store.jobs].filter(
-      ([, job]) => job.record.status !== 'done' && job.cancelledAt === null,
-    );
-    // Half of the cancellations coincide with the end of a task.
-    const endingSoon = cancellableJobs.filter(([id]) =>
-      this.workers.some((worker) =>
-        [...worker.tasks.values()].some(
-          (task) => task.jobId === id && task.state === 'running' && task.endsAt - this.secondsElapsed < 0.5,
-        ),
-      ),
-    );
-    // Cancellations are frequent while a start is held up: their direct stop commands overtake it.
-    const heldUp = cancellableJobs.filter(([id]) => this.jobsWithHeldStart.includes(id));
-    const coinciding = heldUp.length > 0 ? heldUp : endingSoon;
-    const candidates = coinciding.length > 0 && this.randomBelow(2) === 0 ? coinciding : cancellableJobs;
-    const chosen = candidates[this.randomBelow(Math.max(1, candidates.length))];
-    if (chosen === undefined) return;
-    const [id, job] = chosen;
-    if (job.record.status === 'cancelled') return;
-    const record: JobRecord = { ...job.record, status: 'cancelled' };
-    const modRevision = this.store.putJob(id, record, this.secondsElapsed);
-    this.deliverWithin(0.4, () => this.handleEvent({ kind: 'job-changed', id, record, modRevision }));
+    const change = this.users.cancel(this.secondsElapsed, this.jobsWithHeldStart);
+    if (change !== null) this.deliverWithin(0.4, () => this.handleEvent({ kind: 'job-changed', ...change }));
   }
 
   private checkInvariants(): void {
--- a/test/standins/cluster.ts
+++ b/test/standins/cluster.ts
@@ -23,21 +23,18 @@
   return `127.${1 + ((processId >> 16) & 0x7f)}.${(processId >> 8) & 0xff}.${processId & 0xff}:${lastPort}`;
 }
 
-const MACHINE_TYPES = {
-  builds: [
-    {
-      label: 'big',
-      vcpus: 8,
-      gpus: 2,
-      memGb: 64,
-      localGb: 100,
-      fetchGbPerS: 1,
-      rate: 10,
-      spotPrice: 4,
-      bootS: 30,
-      halls: ['east', 'west'],
-    },
-  ],
+/** The one machine type of the stand-in cloud, with the field names of the protocol. */
+export const MACHINE_TYPE_BODY = {
+  label: 'big',
+  vcpus: 8,
+  gpus: 2,
+  memGb: 64,
+  localGb: 100,
+  fetchGbPerS: 1,
+  rate: 10,
+  spotPrice: 4,
+  bootS: 30,
+  halls: ['east', 'west'],
 };
 
 export function platformSettings(
@@ -179,7 +176,7 @@
   }
 
   private async answer(method: string, { pathname, searchParams }: URL, sent: unknown): Promise<Reply> {
-    if (pathname === '/flavors') return { status: 200, body: MACHINE_TYPES };
+    if (pathname === '/flavors') return { status: 200, body: { builds: [MACHINE_TYPE_BODY] } };
     if (pathname === '/machines' && searchParams.has('page'))
       return { status: 200, body: { rigs: this.workers.map(inventoryEntry), hasNext: false } };
     if (method !== 'POST') return { status: 400, body: {} };
