Review stand-ins: ports that stay free while a controller restarts

Cause: a port that the kernel gives to outgoing connections may be taken between the end of a controller and its restart. Change: ports below that range.

--- a/review/stand-ins-2.mjs
+++ b/review/stand-ins-2.mjs
@@ -61,16 +61,26 @@
   }
 }
 
-async function freePorts(count) {
-  const servers = [];
-  for (let n = 0; n < count; n++) {
+/** Whether a server can listen on the port now. */
+const isFree = (port) =>
+  new Promise((done) => {
     const server = createServer();
-    await new Promise((done) => server.listen(0, '127.0.0.1', done));
-    servers.push(server);
+    server.once('error', () => done(false));
+    server.listen(port, '127.0.0.1', () => server.close(() => done(true)));
+  });
+
+/**
+ * Returns free ports below those that the kernel gives to outgoing connections, so that none is taken while its
+ * controller is being restarted.
+ */
+async function freePorts(count) {
+  const ports = new Set();
+  for (let tries = 0; ports.size < count && tries < 1000; tries++) {
+    const port = 10_000 + Math.floor(Math.random() * 20_000);
+    if (!ports.has(port) && (await isFree(port))) ports.add(port);
   }
-  const ports = servers.map((server) => server.address().port);
-  await Promise.all(servers.map((server) => new Promise((done) => server.close(done))));
-  return ports;
+  if (ports.size < count) throw new Error('no free ports');
+  return [...ports];
 }
 
 /** Starts a server. The handler returns `{ status, body }`, or null to leave the request unanswered. */
