--- a/review/stand-ins-2.mjs
+++ b/review/stand-ins-2.mjs
@@ -174,8 +174,10 @@
   addresses = new Map();
   servers = [];
 
-  constructor(limits) {
+  /** `firstRevision` is the revision before the first change; versions are integers less than 2^64. */
+  constructor(limits, firstRevision = 0n) {
     this.limits = limits;
+    this.firstRevision = firstRevision;
     this.requests = new Limit(limits.rps);
     this.writes = new Limit(limits.write_rps);
   }
@@ -206,14 +208,28 @@
     return touch === undefined ? this.endLease(Number(id)) : this.touch(Number(id));
   }
 
+  /** A revision as it is written in answers. */
+  shown(revision) {
+    return BigInt(revision) + this.firstRevision;
+  }
+
+  /** Whether a guard holds: the key has this version, or doesn't exist if the version is 0. */
+  isAt(key, stamp) {
+    const item = this.items.get(key);
+    return BigInt(stamp) === (item === undefined ? 0n : this.shown(item.stamp));
+  }
+
   isDownFor(node) {
     return this.down || this.refused.has(node);
   }
 
   read(key) {
     const item = this.items.get(key);
-    if (item === undefined) return { status: 404, body: { ledgerRev: this.revision } };
-    return { status: 200, body: { key, value: item.value, stamp: item.stamp, permit: item.permit } };
+    if (item === undefined) return { status: 404, body: { ledgerRev: this.shown(this.revision) } };
+    return {
+      status: 200,
+      body: { key, value: item.value, stamp: this.shown(item.stamp), permit: item.permit },
+    };
   }
 
   list(url) {
@@ -224,9 +240,12 @@
     const items = keys.slice(0, page).map((key) => ({
       key,
       value: this.items.get(key).value,
-      stamp: this.items.get(key).stamp,
+      stamp: this.shown(this.items.get(key).stamp),
     }));
-    return { status: 200, body: { items, hasNext: keys.length > page, ledgerRev: this.revision } };
+    return {
+      status: 200,
+      body: { items, hasNext: keys.length > page, ledgerRev: this.shown(this.revision) },
+    };
   }
 
   commit({ guards = [], writes = [] }) {
@@ -239,15 +258,18 @@
       return { status: 429, body: { error: 'too many changes' } };
     if (writes.some(({ permit }) => permit != null && !this.leases.has(Number(permit))))
       return { status: 400, body: { error: 'no such lease' } };
-    const failed = guards.filter(({ key, stamp }) => (this.items.get(key)?.stamp ?? 0) !== Number(stamp));
+    const failed = guards.filter(({ key, stamp }) => !this.isAt(key, stamp));
     if (failed.length > 0)
-      return { status: 409, body: { failed: failed.map(({ key }) => key), ledgerRev: this.revision } };
+      return {
+        status: 409,
+        body: { failed: failed.map(({ key }) => key), ledgerRev: this.shown(this.revision) },
+      };
     if (writes.length > 0) {
       this.revision += 1;
       for (const change of writes) this.change(change);
       this.notify();
     }
-    return { status: 200, body: { ledgerRev: this.revision } };
+    return { status: 200, body: { ledgerRev: this.shown(this.revision) } };
   }
 
   change({ write, delete: deleted, value, permit }) {
@@ -311,7 +333,7 @@
   }
 
   async follow(node, url) {
-    const from = Number(url.searchParams.get('from'));
+    const from = Number(BigInt(url.searchParams.get('from')) - this.firstRevision);
     const under = url.searchParams.get('under') ?? '';
     const holdMs = Math.min(60_000, Number(url.searchParams.get('holdMs') ?? 0));
     if (!this.isDownFor(node) && !this.requests.take(1)) return { status: 429 };
@@ -332,8 +354,11 @@
         const timer = setTimeout(finish, holdMs);
         this.watchers.add(check);
       });
-    const news = visible();
-    return { status: 200, body: { ledgerRev: this.isDownFor(node) ? from : this.revision, news } };
+    const news = visible().map((change) => ({ ...change, stamp: this.shown(change.stamp) }));
+    return {
+      status: 200,
+      body: { ledgerRev: this.shown(this.isDownFor(node) ? from : this.revision), news },
+    };
   }
 }
 
@@ -616,6 +641,8 @@
   hires = new Map();
   counter = 0;
   past = [];
+  /** True during an outage. */
+  down = false;
 
   constructor(type, capacity, addMachine, lagS) {
     Object.assign(this, { type, capacity, addMachine, lagS });
@@ -640,13 +667,13 @@
   }
 
   rigs() {
-    return [...this.machines.values()].map(({ ref, worker, zone, spot, rentedAt }) => ({
+    return [...this.machines.values()].map(({ ref, worker, zone, spot, rentedAt, diedAt }) => ({
       ref,
       endpoint: worker?.endpoint ?? '127.0.0.1:9',
       build: this.type.label,
       hall: zone,
       loaners: spot,
-      standing: worker === null ? 'booting' : 'running',
+      standing: Date.now() - diedAt > 30_000 ? 'failed' : worker === null ? 'booting' : 'running',
       ageS: (Date.now() - rentedAt) / 1000,
     }));
   }
@@ -663,6 +690,13 @@
     return ref;
   }
 
+  /** A machine stops with all that is on it. It stays listed as running for 30 s, then as failed until it is deleted. */
+  die(ref) {
+    const machine = this.machines.get(ref);
+    machine.worker.stop();
+    machine.diedAt = Date.now();
+  }
+
   take(ref) {
     this.machines.get(ref)?.worker?.stop();
     this.machines.delete(ref);
@@ -670,8 +704,10 @@
 
   async answer(method, url, body) {
     await sleep(20);
+    if (this.down) return { status: 503, body: { error: 'trouble' } };
     if (url.pathname === '/flavors') return { status: 200, body: { builds: [this.type] } };
     if (url.pathname === '/machines/return') {
+      this.onReturn?.(body);
       for (const ref of body.rigs) this.take(ref);
       return { status: 200 };
     }
@@ -681,6 +717,7 @@
       const rigs = (this.past[0]?.rigs ?? []).filter(({ ref }) => ref > from);
       return { status: 200, body: { rigs: rigs.slice(0, page), hasNext: rigs.length > page } };
     }
+    this.onHire?.(body);
     if (this.hires.has(body.hire)) return { status: 200, body: { rigs: this.hires.get(body.hire) } };
     const inZone = [...this.machines.values()].filter(({ zone }) => zone === body.hall).length;
     const count = Math.min(body.number, this.capacity - inZone);
@@ -827,7 +864,7 @@
     node.log.push(line);
     try {
       const { msg, label, level, time, ...fields } = JSON.parse(line);
-      if (level >= 40 || /leadership|lease expired|machine terminated/.test(msg))
+      if (level >= 40 || /leadership|lease expired|machine terminated|^zone/.test(msg))
         this.record.line(`${label}: log "${msg}" ${JSON.stringify(fields).slice(0, 200)}`);
     } catch {
       this.record.line(`${node.label}: ${line.slice(0, 200)}`);
