--- a/review/stand-ins-2.mjs
+++ b/review/stand-ins-2.mjs
@@ -12,6 +12,7 @@
 import { fileURLToPath } from 'node:url';
 import { Encoder } from 'cbor-x';
 
+const MAX_BODY_BYTES = 64 * 1024;
 const REPOSITORY = join(dirname(fileURLToPath(import.meta.url)), '..');
 const codec = new Encoder({
   useRecords: false,
@@ -416,8 +417,8 @@
   cut = false;
   stopped = false;
   answered = 0;
-  /** Reports that a controller answered with 400. */
-  refusedReports = 0;
+  /** Reports that could not be sent, because they would be longer than a request body may be. */
+  unsentReports = 0;
   lastStatuses = [];
   nextNode = 0;
   changed = false;
@@ -474,9 +475,17 @@
       const startedAt = Date.now();
       this.changed = false;
       let pauseMs = 1000;
-      if (!this.cut) {
+      const report = this.body();
+      // "The limit for request bodies is 64 KiB", "size limits are counted in that form" (JSON).
+      const bytes = Buffer.byteLength(JSON.stringify(report));
+      if (bytes > MAX_BODY_BYTES) {
+        this.unsentReports += 1;
+        this.record.line(
+          `${this.name}: the report of ${report.tickets.length} tasks has ${bytes} bytes and cannot be sent`,
+        );
+      } else if (!this.cut) {
         const { shift } = this;
-        const answer = await call(this.nodes[node].address, 'POST', '/hello', this.body(), {
+        const answer = await call(this.nodes[node].address, 'POST', '/hello', report, {
           timeoutMs: 4000,
           agent: this.agent,
         });
@@ -500,7 +509,6 @@
   }
 
   noteStatus(status, label) {
-    if (status === 400) this.refusedReports += 1;
     const text = `${label} answers ${status === 0 ? 'nothing' : status}`;
     if (text !== this.lastStatus) this.record.line(`${this.name}: report, ${text}`);
     this.lastStatus = text;
@@ -658,7 +666,7 @@
   close() {
     clearInterval(this.timer);
     for (const machine of this.machines.values()) machine.worker?.stop();
-    this.closeServer();
+    this.closeServer?.();
   }
 
   remember() {
@@ -979,14 +987,18 @@
   const trouble = process.env.TROUBLE !== '0';
   record.line(`TROUBLE=${trouble ? 1 : 0}`);
   const deployment = new Deployment(record, options);
+  let finishing = false;
   const finish = async (code, text) => {
+    if (finishing) return new Promise(() => undefined);
+    finishing = true;
     record.line(`result ${code}: ${text}`);
     console.log(`result ${code}: ${text}`);
-    await deployment.stop();
-    process.exit(code);
+    await deployment.stop().finally(() => process.exit(code));
   };
   setTimeout(() => void finish(2, 'not finished in time'), 113_000);
-  for (const name of ['SIGINT', 'SIGTERM']) process.on(name, () => void finish(2, name));
+  for (const name of ['SIGINT', 'SIGTERM', 'SIGHUP']) process.on(name, () => void finish(2, name));
+  for (const name of ['uncaughtException', 'unhandledRejection'])
+    process.on(name, (error) => void finish(2, `${name}: ${error?.stack ?? error}`));
   try {
     const broken = await play(deployment, trouble, record);
     await finish(broken.length > 0 ? 1 : 0, broken.length > 0 ? broken.join('; ') : 'the rule held');
