--- a/review/stand-ins-2.mjs
+++ b/review/stand-ins-2.mjs
@@ -834,6 +834,7 @@
 
   /** Starts a controller with the command of the deploy file. */
   launch(n) {
+    if (this.stopping) return;
     const node = this.nodes[n];
     const path = join(this.folder, `${node.label}.json`);
     const known = this.nodes
@@ -965,6 +966,7 @@
 
   /** Ends every process and server. */
   async stop() {
+    this.stopping = true;
     for (const { process: child } of this.nodes) {
       if (child === null) continue;
       child.wanted = true;
