Large jobs: one bit for each pending and each completed task

Cause: the leader kept an entry of a Set for each pending task.

Change: the pending and completed tasks of a job are bits of a TaskSet. Chunks without assignments share one empty map and cache no record; records name completed tasks as ranges, with unchanged bytes; standbys cache decoded rows with assignments only; task counts are summed by job and page. Loops over all chunks visit only those with assignments. A complete chunk gives the room in its page to others. Tasks that lost their assignment still come after those that have waited for longer.

--- a/measure/memory.ts
+++ b/measure/memory.ts
@@ -1,6 +1,5 @@
 /** @file Memory use of the parts of a controller, each created separately. */
 import { connect, createServer, type Socket } from 'node:net';
-import { Subject } from 'rxjs';
 import type { JobRecord } from '../src/core/model/job.js';
 import type { Heartbeat } from '../src/core/model/heartbeat.js';
 import { TaskCounts } from '../src/edge/state-store/task-counts.js';
@@ -8,14 +7,12 @@
 import { FinishedJobCompactor } from '../src/edge/state-store/finished-job-compactor.js';
 import { HeartbeatQueue } from '../src/edge/http/heartbeat-queue.js';
 import { readHeartbeats, type HeartbeatReaderOptions } from '../src/edge/http/heartbeat-reader.js';
-import type { KeyChange, ReplicaEntry } from '../src/edge/state-store/replica-view.js';
 import { jobKey, pageKey } from '../src/wire/keys.js';
 import { encodeJob } from '../src/wire/job-record.js';
 import { encodePage } from '../src/wire/page-record.js';
-import type { FinishedJobSummary } from '../src/wire/finished-job-summary.js';
-import { decode, encode } from '../src/wire/cbor.js';
 import { CLUSTER_CONFIG, jobSpec } from '../test/fixtures/cluster-config.js';
 import { timeAt } from '../test/fixtures/clock.js';
+import { ReplicaStandIn } from '../test/fixtures/replica.js';
 import { createSchedulerWithType } from '../test/fixtures/scheduler.js';
 
 /**
@@ -55,25 +52,6 @@
   previousUsage = usage;
 }
 
-/** A replica of the state store that is filled without one. */
-class ReplicaStandIn {
-  readonly replica = new Map<string, ReplicaEntry>();
-  readonly changes = new Subject<KeyChange>();
-  readonly reloading = false;
-  private lastModRevision = 0;
-
-  put(key: string, value: unknown): void {
-    // Decoded as if it came over the wire, so that it shares no memory with the encoder's input.
-    const entry = { value: decode(encode(value)), modRevision: ++this.lastModRevision };
-    this.replica.set(key, entry);
-    this.changes.next({ key, entry });
-  }
-
-  replaceWithSummary(key: string, value: FinishedJobSummary): void {
-    this.replica.set(key, { value, modRevision: this.replica.get(key)?.modRevision ?? 0 });
-  }
-}
-
 const scheduler = createSchedulerWithType();
 
 const machineNameOf = (n: number): string => `n-${String(n).padStart(6, '0')}`;
--- a/src/core/assignments/assignments.ts
+++ b/src/core/assignments/assignments.ts
@@ -9,9 +9,9 @@
 import type { AssignmentRecord, TaskChunk } from '../model/records.js';
 import { type MonotonicTime, toSeconds } from '../model/time.js';
 import { getOrAddMachine } from '../machines/machine-registry.js';
-import { getOrCreateChunk } from '../records/chunks.js';
+import { addCompletedTask, addToChunk, getOrCreateChunk, removeFromChunk } from '../records/chunks.js';
 import { markChunkChanged } from '../records/record-changes.js';
-import { releaseFinishedChunks } from '../records/record-pages.js';
+import { releaseChunkIfFinished } from '../records/record-pages.js';
 import type { ClusterState } from '../state/cluster-state.js';
 import { startMayStillArrive } from '../state/command-state.js';
 import { addUnassignedTask, removeUnassignedTask } from '../state/job-table.js';
@@ -83,7 +83,7 @@
   machine: Machine,
   assignment: Assignment,
 ): void {
-  chunk.assignments.set(assignment.taskIndex, assignment);
+  addToChunk(job, chunk, assignment);
   job.assignedCount += 1;
   state.jobs.quotas.acquire(job.spec);
   machine.assignments.set(taskKey(assignment.jobId, assignment.taskIndex), assignment);
@@ -91,7 +91,7 @@
 }
 
 function removeAssignment(state: ClusterState, job: Job, chunk: TaskChunk, assignment: Assignment): void {
-  chunk.assignments.delete(assignment.taskIndex);
+  removeFromChunk(job, chunk, assignment);
   job.assignedCount -= 1;
   state.jobs.quotas.release(job.spec);
   const machine = state.machines.byName.get(assignment.machineName);
@@ -115,15 +115,14 @@
   removeAssignment(state, job, chunk, assignment);
   if (!chunk.completedTasks.has(assignment.taskIndex)) {
     if (completed) {
-      chunk.completedTasks.add(assignment.taskIndex);
-      job.completedCount += 1;
+      addCompletedTask(chunk, assignment.taskIndex);
     } else if (job.status === 'open') {
       addUnassignedTask(state.jobs, job, assignment.taskIndex);
       if (job.spec.kind === 'service') job.replicaLostAt = now;
     }
   }
   markChunkChanged(state, job, chunk, false, now);
-  releaseFinishedChunks(job);
+  releaseChunkIfFinished(job, chunk);
   state.scheduling.cycleNeeded = true;
   emitLog(state, 'assignment ended', endFields(job, assignment, reason, now));
   requestCompletionIfAllDone(state, job, now);
@@ -206,14 +205,14 @@
 /** Returns all assignments of a job's tasks. */
 export function assignmentsOf(job: Job): Assignment[] {
   const assignments: Assignment[] = [];
-  for (const chunk of job.chunks.values()) assignments.push(...chunk.assignments.values());
+  for (const chunk of job.assignedChunks) assignments.push(...chunk.assignments.values());
   return assignments;
 }
 
 /** Returns the number of a job's assigned tasks by zone. */
 export function assignmentsByZone(job: Job): Map<string, number> {
   const countByZone = new Map<string, number>();
-  for (const chunk of job.chunks.values())
+  for (const chunk of job.assignedChunks)
     for (const { zone } of chunk.assignments.values())
       countByZone.set(zone, (countByZone.get(zone) ?? 0) + 1);
   return countByZone;
--- a/src/core/assignments/job-completion.ts
+++ b/src/core/assignments/job-completion.ts
@@ -1,7 +1,7 @@
 /** @file Completion of jobs: once every task has a result, or, for a gang, once the first task has one. */
 import type { Job } from '../model/job.js';
 import type { MonotonicTime } from '../model/time.js';
-import { getOrCreateChunk } from '../records/chunks.js';
+import { addCompletedTask, getOrCreateChunk } from '../records/chunks.js';
 import { markChunkChanged, markJobUrgent } from '../records/record-changes.js';
 import type { ClusterState } from '../state/cluster-state.js';
 
@@ -15,7 +15,7 @@
 
 /** Requests completion if every task of the job has a result. */
 export function requestCompletionIfAllDone(state: ClusterState, job: Job, now: MonotonicTime): void {
-  if (job.completedCount === job.spec.taskCount) requestCompletion(state, job, now);
+  if (job.completedTasks.size === job.spec.taskCount) requestCompletion(state, job, now);
 }
 
 /**
@@ -23,11 +23,10 @@
  * Without this, a gang whose last task was lost with its machine waited forever, neither done nor assigned again.
  */
 export function completeGang(state: ClusterState, job: Job, now: MonotonicTime): void {
-  for (const taskIndex of [...job.unassignedTasks]) {
+  for (const taskIndex of job.unassignedTasks) {
     const chunk = getOrCreateChunk(job, taskIndex);
     job.unassignedTasks.delete(taskIndex);
-    chunk.completedTasks.add(taskIndex);
-    job.completedCount += 1;
+    addCompletedTask(chunk, taskIndex);
     markChunkChanged(state, job, chunk, true, now);
   }
   state.jobs.pending.delete(job.spec.id);
--- a/src/core/capacity/demand-forecast.ts
+++ b/src/core/capacity/demand-forecast.ts
@@ -88,7 +88,7 @@
 function countFinishingWithin(state: ClusterState, job: Job, withinS: number, now: Timestamp): number {
   const estimateS = estimatedSeconds(state, job);
   let count = 0;
-  for (const chunk of job.chunks.values())
+  for (const chunk of job.assignedChunks)
     for (const { runningSince } of chunk.assignments.values())
       if (runningSince !== null && estimateS - toSeconds(now.monotonic - runningSince) < withinS) count += 1;
   return count;
--- a/src/core/capacity/fleet-sizing.ts
+++ b/src/core/capacity/fleet-sizing.ts
@@ -1,5 +1,6 @@
 /** @file One round of fleet sizing: decides which machines to drain, to request and to release. */
 import type { Job } from '../model/job.js';
+import { TaskSet } from '../model/task-set.js';
 import type { Timestamp } from '../model/time.js';
 import { runSchedulingCycle } from '../scheduling/scheduling-cycle.js';
 import { displacedReplicas } from '../scheduling/displaced-replicas.js';
@@ -25,4 +26,7 @@
  * so that machines are requested before the loss of the replicas is certain.
  */
 const displacedJobs = (state: ClusterState, now: Timestamp): Job[] =>
-  displacedReplicas(state, now).map(({ job, tasks }) => ({ ...job, unassignedTasks: new Set(tasks) }));
+  displacedReplicas(state, now).map(({ job, tasks }) => ({
+    ...job,
+    unassignedTasks: TaskSet.of(job.spec.taskCount, tasks),
+  }));
--- a/src/core/commands/start-conditions.ts
+++ b/src/core/commands/start-conditions.ts
@@ -47,7 +47,7 @@
   now: MonotonicTime,
 ): boolean {
   // A gang starts as a unit: none of its tasks is started before all its assignments are committed.
-  for (const chunk of job.chunks.values())
+  for (const chunk of job.assignedChunks)
     for (const other of chunk.assignments.values()) if (!isAssignmentCommitted(job, other)) return false;
   return isNextInGangStartOrder(state, job, machine, assignment, now);
 }
@@ -65,7 +65,7 @@
   now: MonotonicTime,
 ): boolean {
   let longestRemainingS = 0;
-  for (const chunk of job.chunks.values())
+  for (const chunk of job.assignedChunks)
     for (const other of chunk.assignments.values()) {
       if (other === assignment || (other.phase !== 'assigned' && other.phase !== 'fetching')) continue;
       const elapsedS = other.startSentAt === null ? 0 : toSeconds(now - other.startSentAt);
--- a/src/core/jobs/dependencies.ts
+++ b/src/core/jobs/dependencies.ts
@@ -83,7 +83,7 @@
       job: spec.id,
       class: spec.class,
       tasks: spec.taskCount,
-      done: job.completedCount,
+      done: job.completedTasks.size,
       ...(isPending ? { pendingReason: job.pendingReason } : {}),
     },
     'info',
--- a/src/core/model/job.ts
+++ b/src/core/model/job.ts
@@ -2,6 +2,7 @@
 import type { Duration, MonotonicTime } from './time.js';
 import { NOT_CONSIDERED_YET, type PendingReason } from './pending-reasons.js';
 import type { TaskChunk } from './records.js';
+import { TaskSet } from './task-set.js';
 
 /** How the tasks of a job relate to each other. */
 export type JobKind = 'array' | 'gang' | 'service';
@@ -63,7 +64,9 @@
   /** Mod revision of the job's key. Every transaction of the leader that concerns this job compares it. */
   modRevision: number;
   readonly chunks: Map<number, TaskChunk>;
-  completedCount: number;
+  /** The chunks with at least one assignment. */
+  readonly assignedChunks: Set<TaskChunk>;
+  readonly completedTasks: TaskSet;
   assignedCount: number;
   /** True once every task has a result and the job is queued to be recorded as done. */
   completionRequested: boolean;
@@ -74,8 +77,8 @@
   preemptionCount: number;
   /** Tasks of the job are not assigned again before this time (back-off after failures). */
   retryNotBefore: MonotonicTime;
-  /** Indexes of the tasks that have neither a result nor an assignment, in insertion order. */
-  readonly unassignedTasks: Set<number>;
+  /** The tasks that have neither a result nor an assignment; none of a job that is not open. */
+  readonly unassignedTasks: TaskSet;
   firstSeenAt: MonotonicTime;
   /** When a service replica last lost its assignment, and so became unavailable to its users; null if none did. */
   replicaLostAt: MonotonicTime | null;
@@ -97,14 +100,15 @@
   status: record.status,
   modRevision,
   chunks: new Map(),
-  completedCount: 0,
+  assignedChunks: new Set(),
+  completedTasks: new TaskSet(record.spec.taskCount),
   assignedCount: 0,
   completionRequested: false,
   failuresByMachine: new Map(),
   failureCount: 0,
   preemptionCount: 0,
   retryNotBefore: 0n,
-  unassignedTasks: new Set(),
+  unassignedTasks: record.status === 'open' ? TaskSet.full(record.spec.taskCount) : new TaskSet(0),
   firstSeenAt: now,
   replicaLostAt: null,
   pendingReason: NOT_CONSIDERED_YET,
--- a/src/core/model/records.ts
+++ b/src/core/model/records.ts
@@ -1,10 +1,12 @@
 /** @file Records of assignments and results, in memory and as written to the state store. */
 import type { Assignment } from './assignment.js';
+import type { TaskRange, TaskSet } from './task-set.js';
 
 /** A chunk as written to the state store. */
 export interface ChunkRecord {
   readonly highestAttempt: number;
-  readonly completedTasks: readonly number[];
+  /** In ascending order. */
+  readonly completedTasks: readonly TaskRange[];
   readonly assignments: readonly AssignmentRecord[];
 }
 
@@ -35,7 +37,10 @@
   reservedBytes: number | null;
 }
 
-/** A range of consecutive tasks of a job, recorded together in one page. */
+/**
+ * A range of consecutive tasks of a job, recorded together in one page. A chunk stays in memory until its job is
+ * finished, so that a chunk without assignments must be small.
+ */
 export interface TaskChunk {
   readonly jobId: string;
   readonly index: number;
@@ -43,13 +48,17 @@
   page: RecordPage | null;
   /** Highest attempt number assigned in this chunk. */
   highestAttempt: number;
-  readonly completedTasks: Set<number>;
-  readonly assignments: Map<number, Assignment>;
+  /** The completed tasks of the whole job, which all its chunks share. */
+  readonly completedTasks: TaskSet;
+  /** Number of completed tasks of this chunk. */
+  completedCount: number;
+  /** Assignments by task index. Chunks without any share one empty map, so only records/chunks.ts may change it. */
+  assignments: Map<number, Assignment>;
   /** `RecordState.version` at the chunk's last change. */
   version: number;
   /** Highest committed version of the chunk. */
   committedVersion: number;
-  /** Record last built for writing, or null if the chunk has changed since. */
+  /** Record last built for writing, or null if the chunk has changed since or has no assignments. */
   cachedRecord: ChunkRecord | null;
 }
 
--- a/src/core/persistence/job-records.ts
+++ b/src/core/persistence/job-records.ts
@@ -21,10 +21,9 @@
 }
 
 function addJob(state: ClusterState, job: Job, now: Timestamp): void {
-  const { id, taskCount } = job.spec;
+  const { id } = job.spec;
   state.jobs.byId.set(id, job);
   if (job.status === 'open') {
-    for (let taskIndex = 0; taskIndex < taskCount; taskIndex++) job.unassignedTasks.add(taskIndex);
     registerJob(state, job, now);
   } else {
     state.jobs.finished.set(id, now.monotonic);
--- a/src/core/persistence/recovery.ts
+++ b/src/core/persistence/recovery.ts
@@ -7,7 +7,7 @@
 import type { Job } from '../model/job.js';
 import type { RecordPage, TaskChunk, PageEntry } from '../model/records.js';
 import type { MonotonicTime, Timestamp } from '../model/time.js';
-import { newChunk } from '../records/chunks.js';
+import { addChunk, addCompletedTasks } from '../records/chunks.js';
 import { addPage, poolOf, addToPage } from '../records/record-pages.js';
 import type { ClusterState } from '../state/cluster-state.js';
 
@@ -44,11 +44,12 @@
 
 /** Adds the chunk with its results to the job and the page, and returns it. */
 function restoreChunk(page: RecordPage, job: Job, { chunkIndex, record }: PageEntry): TaskChunk {
-  const chunk = newChunk(job.spec.id, chunkIndex, record.highestAttempt, record.completedTasks);
+  const chunk = addChunk(job, chunkIndex, record.highestAttempt);
   addToPage(page, chunk);
   page.pool = poolOf(job);
-  job.chunks.set(chunkIndex, chunk);
-  job.completedCount += chunk.completedTasks.size;
-  for (const taskIndex of chunk.completedTasks) job.unassignedTasks.delete(taskIndex);
+  for (const range of record.completedTasks) {
+    addCompletedTasks(chunk, range);
+    job.unassignedTasks.deleteRange(range);
+  }
   return chunk;
 }
--- a/src/core/reconciliation/quarantine.ts
+++ b/src/core/reconciliation/quarantine.ts
@@ -57,4 +57,4 @@
 
 /** A job that was submitted with a mistake fails everywhere until its user cancels it. */
 const isCancelledWithoutResult = (job: Job): boolean =>
-  job.status === 'cancelled' && job.completedCount === 0;
+  job.status === 'cancelled' && job.completedTasks.size === 0;
--- a/src/core/reconciliation/task-exits.ts
+++ b/src/core/reconciliation/task-exits.ts
@@ -2,7 +2,7 @@
  * @file Handles the exit of a task: ends its assignment, stops its gang if it failed, and counts failures against the
  * job; quarantine.ts counts them against the machine.
  */
-import { endAssignment, stopAssignment } from '../assignments/assignments.js';
+import { assignmentsOf, endAssignment, stopAssignment } from '../assignments/assignments.js';
 import { requestForget } from '../commands/forgets.js';
 import { taskKey } from '../model/assignment.js';
 import type { Heartbeat, ReportedTask } from '../model/heartbeat.js';
@@ -65,10 +65,9 @@
  * left to do.
  */
 function stopGangAttempt(state: ClusterState, job: Job, task: ReportedTask, now: Timestamp): void {
-  for (const chunk of job.chunks.values())
-    for (const assignment of [...chunk.assignments.values()])
-      if (assignment.attempt === task.attempt && assignment.stopRequest === null)
-        stopAssignment(state, assignment, 0, `gang task failed: ${task.exitReason}`, now.monotonic);
+  for (const assignment of assignmentsOf(job))
+    if (assignment.attempt === task.attempt && assignment.stopRequest === null)
+      stopAssignment(state, assignment, 0, `gang task failed: ${task.exitReason}`, now.monotonic);
 }
 
 function onTaskFailure(
--- a/src/core/records/page-size.ts
+++ b/src/core/records/page-size.ts
@@ -6,7 +6,7 @@
 import type { Job } from '../model/job.js';
 import type { RecordPage, TaskChunk } from '../model/records.js';
 import type { ClusterState } from '../state/cluster-state.js';
-import { CHUNK_TASKS } from './chunks.js';
+import { CHUNK_TASKS, taskCountOfChunk } from './chunks.js';
 
 /** Smallest allowed `maxValueBytes`: room for one chunk with the longest numbers and for the page header. */
 export const MIN_VALUE_BYTES = 1792;
@@ -37,7 +37,7 @@
 export function maxEntryBytes(state: ClusterState, job: Job, chunk: TaskChunk): number {
   const firstTask = chunk.index * CHUNK_TASKS;
   const indexDigits = digitCount(firstTask + CHUNK_TASKS);
-  const incompleteTasks = Math.min(CHUNK_TASKS, job.spec.taskCount - firstTask) - chunk.completedTasks.size;
+  const incompleteTasks = taskCountOfChunk(job, chunk.index) - chunk.completedCount;
   const assignmentBytes =
     indexDigits +
     ATTEMPT_DIGITS +
@@ -47,7 +47,7 @@
     Math.max(MIN_NAME_BYTES, state.machines.longestNameBytes);
   // Results are written as ranges. At worst every second task has a result, each at most as long as a range of two
   // numbers.
-  const resultBytes = Math.min(chunk.completedTasks.size, incompleteTasks + 1) * (2 * indexDigits + 2);
+  const resultBytes = Math.min(chunk.completedCount, incompleteTasks + 1) * (2 * indexDigits + 2);
   return ENTRY_HEADER_BYTES + job.spec.id.length + incompleteTasks * assignmentBytes + resultBytes;
 }
 
@@ -64,7 +64,10 @@
 export const maxChunksPerPage = (config: ClusterConfig): number =>
   Math.floor(JOB_CONDITIONS_PER_OPERATION * config.maxTransactionOperations) - RESERVED_CONDITIONS;
 
-/** Returns the sum of the size bounds of a page's entries in bytes, computed again once chunks are added or removed. */
+/**
+ * Returns the sum of the size bounds of a page's entries in bytes, computed again once chunks are added, removed or
+ * completed.
+ */
 export function reservedBytesOf(state: ClusterState, page: RecordPage): number {
   if (page.reservedBytes === null) {
     page.reservedBytes = 0;
--- a/src/core/records/record-changes.ts
+++ b/src/core/records/record-changes.ts
@@ -7,7 +7,7 @@
 import type { MonotonicTime } from '../model/time.js';
 import type { ClusterState } from '../state/cluster-state.js';
 import type { RecordState } from '../state/record-state.js';
-import { hasUncommittedChanges } from './chunks.js';
+import { hasUncommittedChanges, isComplete, releaseIdleRecord } from './chunks.js';
 import { getOrAssignPage } from './record-pages.js';
 
 /**
@@ -25,6 +25,8 @@
   const { records } = state;
   chunk.cachedRecord = null;
   const page = getOrAssignPage(state, job, chunk);
+  // The page then has room for more chunks, so that the results of large jobs take few pages.
+  if (isComplete(job, chunk)) page.reservedBytes = null;
   markPageChanged(records, page, now);
   chunk.version = records.version;
   if (urgent) records.urgentPages.add(page.id);
@@ -79,7 +81,10 @@
 ): void {
   const { dirtyPages, urgentPages } = state.records;
   page.committedVersion = Math.max(page.committedVersion, version);
-  for (const chunk of chunks) chunk.committedVersion = Math.max(chunk.committedVersion, version);
+  for (const chunk of chunks) {
+    chunk.committedVersion = Math.max(chunk.committedVersion, version);
+    releaseIdleRecord(chunk);
+  }
   const dirtySince = dirtyPages.get(page.id);
   dirtyPages.delete(page.id);
   urgentPages.delete(page.id);
--- a/src/core/records/record-pages.ts
+++ b/src/core/records/record-pages.ts
@@ -84,10 +84,16 @@
   chunk.page = null;
 }
 
-/** Removes a finished job's chunks without assignments from their pages: the job's own key records its final status. */
+/** Removes a finished job's chunks without assignments and their records: the job's own key records its final status. */
 export function releaseFinishedChunks(job: Job): void {
-  if (job.status === 'open') return;
-  for (const chunk of job.chunks.values()) if (chunk.assignments.size === 0) removeFromPage(chunk);
+  for (const chunk of job.chunks.values()) releaseChunkIfFinished(job, chunk);
+}
+
+/** Removes a chunk without assignments and its record if its job is finished. */
+export function releaseChunkIfFinished(job: Job, chunk: TaskChunk): void {
+  if (job.status === 'open' || chunk.assignments.size > 0) return;
+  removeFromPage(chunk);
+  job.chunks.delete(chunk.index);
 }
 
 /** Returns the entries of a page as they will be written. */
--- a/src/core/scheduling/displaced-replicas.ts
+++ b/src/core/scheduling/displaced-replicas.ts
@@ -9,6 +9,7 @@
 import type { Job } from '../model/job.js';
 import { fits, subtractResources } from '../model/resources.js';
 import type { Timestamp } from '../model/time.js';
+import { chunkIndexOf } from '../records/chunks.js';
 import type { ClusterState } from '../state/cluster-state.js';
 import type { Candidate } from './candidates.js';
 import { isMachineAllowed, isZoneAllowed } from './placement-constraints.js';
@@ -60,11 +61,7 @@
 }
 
 function assignedZone(job: Job, task: number): string | null {
-  for (const chunk of job.chunks.values()) {
-    const assignment = chunk.assignments.get(task);
-    if (assignment !== undefined) return assignment.zone;
-  }
-  return null;
+  return job.chunks.get(chunkIndexOf(task))?.assignments.get(task)?.zone ?? null;
 }
 
 /** Returns the machine that fits with the fewest free GPUs, so that whole machines stay free, or null if none fits. */
--- a/src/core/scheduling/gang-scheduling.ts
+++ b/src/core/scheduling/gang-scheduling.ts
@@ -18,7 +18,7 @@
  */
 export function scheduleGang(cycle: SchedulingCycle, job: Job): void {
   const { state, now } = cycle;
-  if (job.completedCount > 0) return completeGang(state, job, now.monotonic);
+  if (job.completedTasks.size > 0) return completeGang(state, job, now.monotonic);
   if (job.assignedCount > 0 || job.unassignedTasks.size !== job.spec.taskCount) {
     job.pendingReason = PREVIOUS_ATTEMPT_ENDING;
     return;
--- a/src/core/scheduling/task-scheduling.ts
+++ b/src/core/scheduling/task-scheduling.ts
@@ -55,7 +55,7 @@
     tasksByZone: assignmentsByZone(job),
     scored: feasible.map((candidate) => scoreCandidate(job.spec, candidate, state.settings, tieBreaker)),
   };
-  for (const task of [...job.unassignedTasks]) {
+  for (const task of job.unassignedTasks) {
     const pendingReason = scheduleTask(cycle, placement, task);
     if (pendingReason === null) continue;
     job.pendingReason = pendingReason;
--- a/src/core/scheduling/zone-availability.ts
+++ b/src/core/scheduling/zone-availability.ts
@@ -25,7 +25,10 @@
   pendingFor: hasStarted(job) ? 0n : seconds(pendingSeconds(job, now)),
 });
 
-const hasStarted = (job: Job): boolean => [...job.chunks.values()].some((chunk) => chunk.highestAttempt > 0);
+function hasStarted(job: Job): boolean {
+  for (const chunk of job.chunks.values()) if (chunk.highestAttempt > 0) return true;
+  return false;
+}
 
 /** Whether the scheduler should neither request machines in the zone nor wait for the machines there. */
 export const isZoneUnavailable = (state: ClusterState, zone: string): boolean =>
--- a/src/edge/state-store/decoded-page-cache.ts
+++ b/src/edge/state-store/decoded-page-cache.ts
@@ -1,25 +1,37 @@
-/** @file Cache of the decoded pages of the replica. It lets a standby decode them before it becomes the leader. */
+/** @file Cache of decoded pages of the replica. It lets a standby decode assignments before it becomes the leader. */
 import type { PageEntry } from '../../core/model/records.js';
-import { decodePage } from '../../wire/page-record.js';
+import { decodeAssignedRows, decodeOtherRows, type DecodedRows } from '../../wire/page-record.js';
 import type { ReplicaEntry } from './replica-view.js';
 
-/** The pages of the replica, each decoded once and cached as long as the replica keeps its entry. */
+/**
+ * The chunk records with assignments, each decoded once and cached as long as the replica keeps its page. The other
+ * chunk records only hold results. They are not cached, because there may be thousands of them for each job.
+ */
 export class DecodedPageCache {
-  private readonly entriesByPage = new WeakMap<ReplicaEntry, readonly PageEntry[]>();
+  private readonly assignedRowsByPage = new WeakMap<ReplicaEntry, DecodedRows>();
   private decodedCount = 0;
 
-  /** Number of pages decoded so far. */
+  /** Number of pages whose assignments were decoded so far. */
   get decodedPageCount(): number {
     return this.decodedCount;
   }
 
   /** Returns the chunk records of a page; throws `MalformedRecordError` if the page cannot be decoded. */
   entriesOf(page: ReplicaEntry): readonly PageEntry[] {
-    const cached = this.entriesByPage.get(page);
+    return decodeOtherRows(page.value, this.assignedRowsOf(page));
+  }
+
+  /** Returns the chunk records of a page that have assignments; throws `MalformedRecordError` if one is malformed. */
+  assignedEntriesOf(page: ReplicaEntry): Iterable<PageEntry> {
+    return this.assignedRowsOf(page).values();
+  }
+
+  private assignedRowsOf(page: ReplicaEntry): DecodedRows {
+    const cached = this.assignedRowsByPage.get(page);
     if (cached !== undefined) return cached;
-    const entries = decodePage(page.value);
+    const rows = decodeAssignedRows(page.value);
     this.decodedCount += 1;
-    this.entriesByPage.set(page, entries);
-    return entries;
+    this.assignedRowsByPage.set(page, rows);
+    return rows;
   }
 }
--- a/src/edge/state-store/image-cache-observer.ts
+++ b/src/edge/state-store/image-cache-observer.ts
@@ -96,8 +96,7 @@
 
   private observe(page: ReplicaEntry): void {
     const now = this.clock();
-    for (const { jobId, record } of this.pageCache.entriesOf(page)) {
-      if (record.assignments.length === 0) continue;
+    for (const { jobId, record } of this.pageCache.assignedEntriesOf(page)) {
       const job = this.stateStore.replica.get(jobKey(jobId));
       if (job === undefined || job.value instanceof FinishedJobSummary) continue;
       const { image, imageGb } = decodeJob(job.value).spec;
--- a/src/edge/state-store/task-counts.ts
+++ b/src/edge/state-store/task-counts.ts
@@ -15,6 +15,7 @@
 export class TaskCounts {
   /** Jobs without a counted task have no entry. */
   private readonly byJob = new Map<string, { completed: number; assigned: number }>();
+  /** By page, the sum of the counts of each job's chunks. */
   private readonly byPage = new Map<string, readonly ChunkTaskCount[]>();
 
   constructor(stateStore: ReplicaEntries) {
@@ -29,7 +30,7 @@
 
   private update(key: string, value: unknown): void {
     if (parseKey(key).kind !== 'page') return;
-    const counts = taskCountsIn(value);
+    const counts = sumByJob(taskCountsIn(value));
     for (const { jobId, completed, assigned } of this.byPage.get(key) ?? [])
       this.add(jobId, -completed, -assigned);
     for (const { jobId, completed, assigned } of counts) this.add(jobId, completed, assigned);
@@ -44,3 +45,17 @@
     else this.byJob.set(jobId, count);
   }
 }
+
+/** Returns one count for each job. A page may hold many chunks of one job. */
+function sumByJob(counts: readonly ChunkTaskCount[]): ChunkTaskCount[] {
+  const sums = new Map<string, ChunkTaskCount>();
+  for (const { jobId, completed, assigned } of counts) {
+    const sum = sums.get(jobId);
+    sums.set(jobId, {
+      jobId,
+      completed: completed + (sum?.completed ?? 0),
+      assigned: assigned + (sum?.assigned ?? 0),
+    });
+  }
+  return [...sums.values()];
+}
--- a/src/wire/page-record.ts
+++ b/src/wire/page-record.ts
@@ -5,30 +5,28 @@
  * `task.attempt.machine.epoch.zone`, with the zone as its index in the first section.
  */
 import type { AssignmentRecord, ChunkRecord, PageEntry } from '../core/model/records.js';
+import type { TaskRange } from '../core/model/task-set.js';
 import { MalformedRecordError } from './errors.js';
 
 /** Upper bound on the characters of a malformed row or name that an error shows. */
 const MAX_SHOWN_CHARACTERS = 40;
 
 /** Encodes completed tasks as runs `first-last`, or `first` for a single task. */
-function encodeRuns(tasks: readonly number[]): string {
-  const runs: [first: number, last: number][] = [];
-  for (const task of tasks) {
-    const run = runs[runs.length - 1];
-    if (run !== undefined && run[1] === task - 1) run[1] = task;
-    else runs.push([task, task]);
-  }
-  return runs.map(([first, last]) => (first === last ? String(first) : `${first}-${last}`)).join(',');
+const encodeRuns = (ranges: readonly TaskRange[]): string =>
+  ranges.map(({ first, last }) => (first === last ? String(first) : `${first}-${last}`)).join(',');
+
+const decodeRuns = (text: string): TaskRange[] => (text === '' ? [] : text.split(',').map(decodeRun));
+
+function decodeRun(text: string): TaskRange {
+  const separator = text.indexOf('-');
+  if (separator < 0) return { first: Number(text), last: Number(text) };
+  return { first: Number(text.slice(0, separator)), last: Number(text.slice(separator + 1)) };
 }
 
-function decodeRuns(text: string): number[] {
-  const tasks: number[] = [];
-  if (text === '') return tasks;
-  for (const run of text.split(',')) {
-    const [first = 0, last = first] = run.split('-').map(Number);
-    for (let task = first; task <= last; task++) tasks.push(task);
-  }
-  return tasks;
+function taskCountOf(ranges: readonly TaskRange[]): number {
+  let count = 0;
+  for (const { first, last } of ranges) count += last - first + 1;
+  return count;
 }
 
 /** Escapes every separator of the page syntax in a name. */
@@ -88,21 +86,53 @@
   const { highestAttempt, completedTasks, assignments } = record;
   const runs = encodeRuns(completedTasks);
   const assigned = assignments.map((assignment) => encodeAssignment(assignment, zones)).join(',');
-  return `${jobId}/${chunkIndex} a${highestAttempt} c${completedTasks.length},${assignments.length} ${runs} ${assigned}`;
+  return `${jobId}/${chunkIndex} a${highestAttempt} c${taskCountOf(completedTasks)},${assignments.length} ${runs} ${assigned}`;
 }
 
 const encodeAssignment = (assignment: AssignmentRecord, zones: ZoneTable): string =>
   `${assignment.taskIndex}.${assignment.attempt}.${escapeName(assignment.machineName)}.${assignment.agentEpoch}.${zones.indexOf(assignment.zone)}`;
 
+/** The end of a row without assignments: the separator that precedes them. */
+const NO_ASSIGNMENTS_END = ' ';
+
 /** Captures job id, chunk, highest attempt, completed runs and assignments. */
 const ROW = /^([^/ ]+)\/(\d+) a(\d+) c\d+,\d+ ([\d,-]*) (.*)$/;
 
+/** Entries of a page that are decoded already, by the position of their rows. */
+export type DecodedRows = ReadonlyMap<number, PageEntry>;
+
+const NO_DECODED_ROWS: DecodedRows = new Map();
+
 /** Decodes a page of chunk records; throws {@link MalformedRecordError} if it is malformed. */
-export function decodePage(value: unknown): PageEntry[] {
+export const decodePage = (value: unknown): PageEntry[] => decodeOtherRows(value, NO_DECODED_ROWS);
+
+/**
+ * Returns all entries of a page and decodes those that are not decoded yet; throws {@link MalformedRecordError} if the
+ * page is malformed.
+ */
+export function decodeOtherRows(value: unknown, decodedRows: DecodedRows): PageEntry[] {
+  const { zones, rows } = splitPage(value);
+  return rows.map((row, position) => decodedRows.get(position) ?? decodeRow(row, zones));
+}
+
+/** Decodes only the rows with assignments; throws {@link MalformedRecordError} if one of them is malformed. */
+export function decodeAssignedRows(value: unknown): DecodedRows {
+  const { zones, rows } = splitPage(value);
+  const decoded = new Map<number, PageEntry>();
+  for (const [position, row] of rows.entries())
+    if (!row.endsWith(NO_ASSIGNMENTS_END)) decoded.set(position, decodeRow(row, zones));
+  return decoded.size === 0 ? NO_DECODED_ROWS : decoded;
+}
+
+interface PageRows {
+  readonly zones: readonly string[];
+  readonly rows: readonly string[];
+}
+
+function splitPage(value: unknown): PageRows {
   if (typeof value !== 'string') throw new MalformedRecordError('page', 'not a text');
   const [zoneSection = '', ...rows] = value.split('|');
-  const zones = zoneSection === '' ? [] : zoneSection.split(',').map(unescapeName);
-  return rows.map((row) => decodeRow(row, zones));
+  return { zones: zoneSection === '' ? [] : zoneSection.split(',').map(unescapeName), rows };
 }
 
 function decodeRow(row: string, zones: readonly string[]): PageEntry {
--- a/test/golden-records.test.ts
+++ b/test/golden-records.test.ts
@@ -182,7 +182,7 @@
     {
       jobId: 'req-2',
       chunkIndex: 12,
-      record: { highestAttempt: 70_000, completedTasks: [480, 481, 482], assignments: [] },
+      record: { highestAttempt: 70_000, completedTasks: [{ first: 480, last: 482 }], assignments: [] },
     },
     {
       jobId: 'req-3',
@@ -198,7 +198,10 @@
       chunkIndex: 0,
       record: {
         highestAttempt: 3,
-        completedTasks: [0, 1, 2, 7],
+        completedTasks: [
+          { first: 0, last: 2 },
+          { first: 7, last: 7 },
+        ],
         assignments: [
           { taskIndex: 4, attempt: 3, machineName: 'n-000231', agentEpoch: 2, zone: 'east' },
           { taskIndex: 5, attempt: 2, machineName: 'a.b,c|d', agentEpoch: 1, zone: 'east' },
--- a/test/large-fleet.test.ts
+++ b/test/large-fleet.test.ts
@@ -10,10 +10,9 @@
 import { jobKey, pageKey } from '../src/wire/keys.js';
 import { encodeJob } from '../src/wire/job-record.js';
 import { encodePage } from '../src/wire/page-record.js';
-import type { KeyChange, ReplicaEntry } from '../src/edge/state-store/replica-view.js';
-import { Subject } from 'rxjs';
 import { SimulatedFleet } from './standins/simulated-fleet.js';
 import { jobSpec } from './fixtures/cluster-config.js';
+import { ReplicaStandIn } from './fixtures/replica.js';
 
 /**
  * Simulated fleets of these numbers of machines run through the core. Constant costs must stay constant, and all others
@@ -140,21 +139,8 @@
   assert.equal(fleet.commits, 0);
 });
 
-/** A replica of the state store that the test fills itself. */
-class FakeReplicaView {
-  readonly replica = new Map<string, ReplicaEntry>();
-  readonly changes = new Subject<KeyChange>();
-  private revision = 0;
-
-  put(key: string, value: unknown): void {
-    const entry = { value, modRevision: ++this.revision };
-    this.replica.set(key, entry);
-    this.changes.next({ key, entry });
-  }
-}
-
 test('cached images are remembered for every machine, and expire', () => {
-  const replicaView = new FakeReplicaView();
+  const replicaView = new ReplicaStandIn();
   let clock = 0n;
   const observer = new ImageCacheObserver(
     replicaView,
--- a/test/memory-bounds.test.ts
+++ b/test/memory-bounds.test.ts
@@ -3,40 +3,23 @@
  * ever run, and no work is repeated while nothing changes.
  */
 import assert from 'node:assert/strict';
-import { Subject } from 'rxjs';
 import { test } from 'node:test';
 import { TaskCounts } from '../src/edge/state-store/task-counts.js';
 import { DecodedPageCache } from '../src/edge/state-store/decoded-page-cache.js';
 import { FinishedJobCompactor } from '../src/edge/state-store/finished-job-compactor.js';
 import { createLogger } from '../src/edge/runtime/logger.js';
 import { ImageCacheObserver } from '../src/edge/state-store/image-cache-observer.js';
-import type { KeyChange, ReplicaEntry } from '../src/edge/state-store/replica-view.js';
 import { FinishedJobSummary, jobSummaryOf } from '../src/wire/finished-job-summary.js';
 import { jobKey, pageKey } from '../src/wire/keys.js';
 import { encodeJob } from '../src/wire/job-record.js';
 import { encodePage } from '../src/wire/page-record.js';
 import { jobSpec } from './fixtures/cluster-config.js';
 import { timeAt } from './fixtures/clock.js';
+import { ReplicaStandIn } from './fixtures/replica.js';
 import { createSchedulerWithType } from './fixtures/scheduler.js';
 
-/** A replica of the state store that the test fills itself. */
-class FakeReplicaView {
-  readonly replica = new Map<string, ReplicaEntry>();
-  readonly changes = new Subject<KeyChange>();
-  reloading = false;
-  private revision = 0;
-
-  put(key: string, value: unknown): void {
-    const entry = { value, modRevision: ++this.revision };
-    this.replica.set(key, entry);
-    this.changes.next({ key, entry });
-  }
-
-  replaceWithSummary(key: string, value: FinishedJobSummary): void {
-    const existing = this.replica.get(key);
-    if (existing !== undefined) this.replica.set(key, { value, modRevision: existing.modRevision });
-  }
-
+/** A replica with jobs and assignments. */
+class FakeReplicaView extends ReplicaStandIn {
   putJob(id: string, status: 'open' | 'done' | 'cancelled'): void {
     this.put(
       jobKey(id),
--- a/test/records.test.ts
+++ b/test/records.test.ts
@@ -58,7 +58,14 @@
     {
       jobId: 'req-000412',
       chunkIndex: 1,
-      record: { highestAttempt: 3, completedTasks: [0, 1, 2, 7], assignments },
+      record: {
+        highestAttempt: 3,
+        completedTasks: [
+          { first: 0, last: 2 },
+          { first: 7, last: 7 },
+        ],
+        assignments,
+      },
     },
   ];
   assert.equal(encodePage(entries, ['east', 'west']), PAGE);
--- a/test/simulation/state-store.ts
+++ b/test/simulation/state-store.ts
@@ -76,10 +76,9 @@
 
   private completeJob(id: string, modRevision: number): void {
     const job = this.openJob(id);
-    const resultCount = this.pageEntriesOf(id).reduce(
-      (count, entry) => count + entry.record.completedTasks.length,
-      0,
-    );
+    const resultCount = this.pageEntriesOf(id)
+      .flatMap((entry) => entry.record.completedTasks)
+      .reduce((count, { first, last }) => count + last - first + 1, 0);
     assert.equal(resultCount, job.record.spec.taskCount, 'done is committed only with all results');
     this.jobs.set(id, { ...job, record: { ...job.record, status: 'done' }, modRevision });
     this.completedCount += 1;
--- a/test/standins/production-version.ts
+++ b/test/standins/production-version.ts
@@ -98,16 +98,6 @@
   return { spec, submittedAt: new Date(storedRecord.at), status: storedRecord.st };
 }
 
-function taskRanges(completedTasks: readonly number[]): [number, number][] {
-  const ranges: [number, number][] = [];
-  for (const task of completedTasks) {
-    const last = ranges[ranges.length - 1];
-    if (last !== undefined && last[1] === task - 1) last[1] = task;
-    else ranges.push([task, task]);
-  }
-  return ranges;
-}
-
 const escaped = (s: string): string =>
   encodeURIComponent(s).replace(/[.!'()*~]/g, (c) => `%${c.charCodeAt(0).toString(16).toUpperCase()}`);
 
@@ -118,16 +108,17 @@
     return zoneIndex >= 0 ? zoneIndex : zoneNames.push(name) - 1;
   };
   const rows = entries.map(({ jobId: job, chunkIndex: index, record }) => {
-    const completedText = taskRanges(record.completedTasks)
-      .map(([a, b]) => (a === b ? String(a) : `${a}-${b}`))
+    const completedText = record.completedTasks
+      .map(({ first, last }) => (first === last ? String(first) : `${first}-${last}`))
       .join(',');
+    const completedCount = record.completedTasks.reduce((sum, { first, last }) => sum + last - first + 1, 0);
     const assignmentText = record.assignments
       .map(
         (assignment) =>
           `${assignment.taskIndex}.${assignment.attempt}.${escaped(assignment.machineName)}.${assignment.agentEpoch}.${zoneOf(assignment.zone)}`,
       )
       .join(',');
-    return `${job}/${index} a${record.highestAttempt} c${record.completedTasks.length},${record.assignments.length} ${completedText} ${assignmentText}`;
+    return `${job}/${index} a${record.highestAttempt} c${completedCount},${record.assignments.length} ${completedText} ${assignmentText}`;
   });
   return [zoneNames.map(escaped).join(','), ...rows].join('|');
 }
@@ -139,11 +130,10 @@
   return rows.map((row) => {
     const match = ROW_PATTERN.exec(row);
     if (match === null) throw new Error(`a page has an entry that cannot be read: ${row.slice(0, 40)}`);
-    const completedTasks: number[] = [];
-    for (const range of match[6] === '' ? [] : (match[6] ?? '').split(',')) {
-      const [a = 0, b = a] = range.split('-').map(Number);
-      for (let task = a; task <= b; task++) completedTasks.push(task);
-    }
+    const completedTasks = (match[6] === '' ? [] : (match[6] ?? '').split(',')).map((range) => {
+      const [first = 0, last = first] = range.split('-').map(Number);
+      return { first, last };
+    });
     const assignments = (match[7] === '' ? [] : (match[7] ?? '').split(',')).map((assignmentText) => {
       const [task, attempt, machine, agentEpoch, zone] = assignmentText.split('.');
       return {
--- a/test/trace-runner.ts
+++ b/test/trace-runner.ts
@@ -204,7 +204,10 @@
     };
     const record = {
       highestAttempt: attempt,
-      completedTasks: parseList(args['completed']).map(Number),
+      completedTasks: parseList(args['completed']).map((task) => ({
+        first: Number(task),
+        last: Number(task),
+      })),
       assignments: [assignment],
     };
     this.handle({
