No more tasks are assigned at once than the leader can hold

Change: assignments are bounded by 5% of the memory limit at 512 bytes each. Tasks beyond it wait, with a pending reason of their own; nothing is reserved or requested for them. Gangs and services that need more at once get 422. Tasks taken over are kept, whatever their number. Together with the bound on open jobs this is in edge/config/leader-memory.ts.

--- a/src/core/assignments/assignments.ts
+++ b/src/core/assignments/assignments.ts
@@ -85,6 +85,7 @@
 ): void {
   addToChunk(job, chunk, assignment);
   job.assignedCount += 1;
+  state.jobs.assignmentCount += 1;
   state.jobs.quotas.acquire(job.spec);
   machine.assignments.set(taskKey(assignment.jobId, assignment.taskIndex), assignment);
   machine.resources = null;
@@ -93,6 +94,7 @@
 function removeAssignment(state: ClusterState, job: Job, chunk: TaskChunk, assignment: Assignment): void {
   removeFromChunk(job, chunk, assignment);
   job.assignedCount -= 1;
+  state.jobs.assignmentCount -= 1;
   state.jobs.quotas.release(job.spec);
   const machine = state.machines.byName.get(assignment.machineName);
   if (machine === undefined) return;
@@ -202,6 +204,10 @@
   for (const assignment of assignmentsOf(job)) stopAssignment(state, assignment, gracePeriodS, reason, now);
 }
 
+/** Returns how many more tasks may be assigned before the leader holds as many as it can. */
+export const assignableTasks = ({ config, jobs }: ClusterState): number =>
+  Math.max(0, config.maxAssignments - jobs.assignmentCount);
+
 /** Returns all assignments of a job's tasks. */
 export function assignmentsOf(job: Job): Assignment[] {
   const assignments: Assignment[] = [];
--- a/src/core/capacity/scale-out-planning.ts
+++ b/src/core/capacity/scale-out-planning.ts
@@ -2,7 +2,7 @@
  * @file Plans which machines to request: for pending tasks that fit neither free capacity, nor the capacity of tasks
  * that will finish in time, nor machines booting or requested; and for work that will arrive while machines boot.
  */
-import { assignmentsByZone } from '../assignments/assignments.js';
+import { assignableTasks, assignmentsByZone } from '../assignments/assignments.js';
 import type { Job } from '../model/job.js';
 import type { MachineType } from '../model/machine.js';
 import { subtractResources } from '../model/resources.js';
@@ -44,18 +44,21 @@
   private readonly finishingTasks: readonly FinishingTask[];
   private readonly requested: RequestedMachines;
   private newMachines = 0;
+  /** Tasks that may still be planned: a machine for more than can be assigned would stay empty. */
+  private plannableTasks: number;
 
   constructor(
     private readonly state: ClusterState,
     private readonly now: Timestamp,
   ) {
+    this.plannableTasks = assignableTasks(state);
     this.expectedMachines = expectedMachines(state, now);
     this.finishingTasks = finishingTasks(state, now);
     this.requested = new RequestedMachines(state, now);
   }
 
   get isFull(): boolean {
-    return this.newMachines >= MAX_NEW_MACHINES_PER_ROUND;
+    return this.newMachines >= MAX_NEW_MACHINES_PER_ROUND || this.plannableTasks <= 0;
   }
 
   requests(): ScaleOutRequest[] {
@@ -72,6 +75,7 @@
     const reusable = finishingTasksFor(state, job, this.finishingTasks, now);
     for (let task = 0; task < needed && !this.isFull; task++) {
       if (!state.jobs.quotas.allows(job.spec, task + 1)) return;
+      this.plannableTasks -= 1;
       let machine = finder.find();
       if (machine === undefined) {
         if (claimNext(reusable)) continue;
--- a/src/core/model/cluster-config.ts
+++ b/src/core/model/cluster-config.ts
@@ -38,6 +38,8 @@
   readonly maxTransactionOperations: number;
   /** Upper bound on the size of one value in the state store, in bytes. */
   readonly maxValueBytes: number;
+  /** Upper bound on the tasks that are assigned at once, because the leader holds each of them in memory. */
+  readonly maxAssignments: number;
   /** Usual lag of the cloud's inventory; at times the lag is up to twice as long. */
   readonly inventoryLag: Duration;
 }
--- a/src/core/model/pending-reasons.ts
+++ b/src/core/model/pending-reasons.ts
@@ -12,6 +12,9 @@
 /** The team's quota does not allow more tasks. */
 export const QUOTA_EXCEEDED = 'team quota';
 
+/** As many tasks are assigned as the leader can hold. */
+export const TOO_MANY_ASSIGNMENTS = 'as many tasks assigned as the leader can hold';
+
 /** Machines have capacity, but not in the zones that the job's constraints allow. */
 export const ZONE_CONSTRAINTS = 'zone constraints';
 
@@ -30,6 +33,7 @@
   | typeof NO_GANG_CAPACITY
   | typeof PREEMPTION_IN_PROGRESS
   | typeof QUOTA_EXCEEDED
+  | typeof TOO_MANY_ASSIGNMENTS
   | typeof ZONE_CONSTRAINTS
   | typeof PREVIOUS_ATTEMPT_ENDING
   | typeof WAITING_FOR_DEPENDENCIES
--- a/src/core/scheduling/gang-scheduling.ts
+++ b/src/core/scheduling/gang-scheduling.ts
@@ -1,9 +1,14 @@
 /** @file Assigns all tasks of a gang in one cycle, or none. */
-import { assignTask } from '../assignments/assignments.js';
+import { assignTask, assignableTasks } from '../assignments/assignments.js';
 import { completeGang } from '../assignments/job-completion.js';
 import type { Job } from '../model/job.js';
 import type { Machine } from '../model/machine.js';
-import { NO_GANG_CAPACITY, PREVIOUS_ATTEMPT_ENDING, QUOTA_EXCEEDED } from '../model/pending-reasons.js';
+import {
+  NO_GANG_CAPACITY,
+  PREVIOUS_ATTEMPT_ENDING,
+  QUOTA_EXCEEDED,
+  TOO_MANY_ASSIGNMENTS,
+} from '../model/pending-reasons.js';
 import { seconds } from '../model/time.js';
 import { type Candidate, reserveTask } from './candidates.js';
 import { type SchedulingCycle, feasibleCandidates } from './cycle-context.js';
@@ -27,6 +32,10 @@
     job.pendingReason = QUOTA_EXCEEDED;
     return;
   }
+  if (assignableTasks(state) < job.spec.taskCount) {
+    job.pendingReason = TOO_MANY_ASSIGNMENTS;
+    return;
+  }
   const feasible = feasibleCandidates(cycle, job);
   const machines = planPreferringSchedulable(cycle, job, feasible);
   if (machines === null) {
--- a/src/core/scheduling/preemption.ts
+++ b/src/core/scheduling/preemption.ts
@@ -1,4 +1,5 @@
 /** @file Reserves capacity for blocked jobs by stopping tasks of lower priority. */
+import { assignableTasks } from '../assignments/assignments.js';
 import type { Assignment } from '../model/assignment.js';
 import type { Job } from '../model/job.js';
 import type { Machine } from '../model/machine.js';
@@ -39,11 +40,16 @@
 const victimsOf = (reservations: readonly Reservation[]): Assignment[] =>
   reservations.flatMap(({ victims }) => victims);
 
-/** Returns the number of pending tasks, or 0 for a gang that has assigned tasks or would exceed its team's quota. */
+/**
+ * Returns the number of pending tasks that may be assigned. For a gang it is 0 if it has assigned tasks, or if not all of
+ * its tasks may be assigned.
+ */
 function tasksToReserve({ state }: SchedulingCycle, { spec, assignedCount, unassignedTasks }: Job): number {
-  if (spec.kind === 'gang' && (assignedCount > 0 || !state.jobs.quotas.allows(spec, spec.taskCount)))
-    return 0;
-  return unassignedTasks.size;
+  const assignable = assignableTasks(state);
+  if (spec.kind !== 'gang') return Math.min(unassignedTasks.size, assignable);
+  const mayStart =
+    assignedCount === 0 && spec.taskCount <= assignable && state.jobs.quotas.allows(spec, spec.taskCount);
+  return mayStart ? unassignedTasks.size : 0;
 }
 
 function preemptionCandidates(cycle: SchedulingCycle, job: Job, cachedImageOnly: boolean): Candidate[] {
--- a/src/core/scheduling/task-scheduling.ts
+++ b/src/core/scheduling/task-scheduling.ts
@@ -1,5 +1,5 @@
 /** @file Assigns the tasks of arrays and the replicas of services, one task at a time. */
-import { assignTask, assignmentsByZone } from '../assignments/assignments.js';
+import { assignTask, assignableTasks, assignmentsByZone } from '../assignments/assignments.js';
 import { hasDeadlineSlack, isUrgent } from '../jobs/deadline-slack.js';
 import type { Job } from '../model/job.js';
 import {
@@ -7,10 +7,12 @@
   PREEMPTION_IN_PROGRESS,
   type PendingReason,
   QUOTA_EXCEEDED,
+  TOO_MANY_ASSIGNMENTS,
   ZONE_CONSTRAINTS,
 } from '../model/pending-reasons.js';
 import { fits } from '../model/resources.js';
 import { getOrCreateChunk } from '../records/chunks.js';
+import type { ClusterState } from '../state/cluster-state.js';
 import { type Candidate, reserveTask } from './candidates.js';
 import { type SchedulingCycle, feasibleCandidates } from './cycle-context.js';
 import { isZoneAllowed } from './placement-constraints.js';
@@ -39,8 +41,9 @@
 /** Assigns as many of the job's pending tasks as fit. */
 export function scheduleTasks(cycle: SchedulingCycle, job: Job): void {
   const { state } = cycle;
-  if (!state.jobs.quotas.allows(job.spec)) {
-    job.pendingReason = QUOTA_EXCEEDED;
+  const refusal = refusalReason(state, job);
+  if (refusal !== null) {
+    job.pendingReason = refusal;
     return;
   }
   const feasible = taskCandidates(cycle, job);
@@ -63,6 +66,12 @@
   }
 }
 
+/** Returns why no task of the job may be assigned, whatever capacity there is, or null if one may be. */
+function refusalReason(state: ClusterState, { spec }: Job): PendingReason | null {
+  if (!state.jobs.quotas.allows(spec)) return QUOTA_EXCEEDED;
+  return assignableTasks(state) === 0 ? TOO_MANY_ASSIGNMENTS : null;
+}
+
 /** Returns the feasible candidates, without the empty machines kept for other jobs if the job has deadline slack. */
 function taskCandidates(cycle: SchedulingCycle, job: Job): Candidate[] {
   const { state, candidates, now } = cycle;
@@ -80,7 +89,8 @@
 function scheduleTask(cycle: SchedulingCycle, placement: TaskPlacement, task: number): PendingReason | null {
   const { state } = cycle;
   const { job } = placement;
-  if (!state.jobs.quotas.allows(job.spec)) return QUOTA_EXCEEDED;
+  const refusal = refusalReason(state, job);
+  if (refusal !== null) return refusal;
   const preferred = preferredCandidates(placement);
   // If fetching the image would miss the start deadline, preempting tasks of lower priority on machines that have it
   // cached is tried first. Fetching the image is the second choice.
--- a/src/core/state/job-table.ts
+++ b/src/core/state/job-table.ts
@@ -21,6 +21,8 @@
   /** Deadlines of unfinished jobs that were not logged as missed yet, in seconds of wall time. */
   readonly deadlines: Map<string, number>;
   readonly quotas: TeamQuotas;
+  /** Number of assignments of all jobs. */
+  assignmentCount: number;
   /** Correction factor for the submitted duration estimate, by job class, learned from completed tasks. */
   readonly durationFactors: Map<string, number>;
   /** True if the set of active jobs has changed since fair shares were last updated. */
@@ -36,6 +38,7 @@
   dependencies: new DependencyGraph(),
   deadlines: new Map(),
   quotas: new TeamQuotas(config.teams),
+  assignmentCount: 0,
   durationFactors: new Map(),
   fairSharesStale: true,
 });
--- a/src/edge/config/platform-settings.ts
+++ b/src/edge/config/platform-settings.ts
@@ -6,6 +6,7 @@
 import type { ClusterConfig } from '../../core/model/cluster-config.js';
 import { seconds } from '../../core/model/time.js';
 import { MIN_VALUE_BYTES } from '../../core/records/page-size.js';
+import { maxAssignments } from './leader-memory.js';
 import { MIN_MEMORY_MB } from '../runtime/memory-monitor.js';
 import { MIN_SOCKETS } from './connection-limits.js';
 import { SettingsError } from './settings-error.js';
@@ -149,6 +150,7 @@
     cancellationDeadline: seconds(workers.cancel_s),
     maxTransactionOperations: Math.min(state.txn_ops, state.next?.txn_ops ?? Infinity),
     maxValueBytes: maxValueBytes(platform),
+    maxAssignments: maxAssignments(platform.facts.limits?.memory_mb ?? null),
     inventoryLag: seconds(cloud.list_lag_s),
   };
 }
--- a/src/edge/http/submission-checks.ts
+++ b/src/edge/http/submission-checks.ts
@@ -9,7 +9,7 @@
 import { encodeJob, storedBytes } from '../../wire/job-record.js';
 
 /** The part of the configuration that submissions are checked against. */
-export type SubmissionLimits = Pick<ClusterConfig, 'teams' | 'maxValueBytes'>;
+export type SubmissionLimits = Pick<ClusterConfig, 'teams' | 'maxValueBytes' | 'maxAssignments'>;
 
 /** Returns why the job is rejected permanently, or null if it is not. While no machine types are known, any may fit. */
 export function rejectionReason(
@@ -21,6 +21,8 @@
   if (!fitsQuota(spec, limits.teams)) return 'more than the limit of its team';
   if (machineTypes.length > 0 && !machineTypes.some((type) => fitsType(spec, type)))
     return 'a task fits no machine type it may use';
+  if (spec.kind !== 'array' && spec.taskCount > limits.maxAssignments)
+    return 'more tasks at once than a controller can hold';
   if (largestRecordBytes(spec) > limits.maxValueBytes)
     return 'too large for a record, with the jobs to wait for';
   return null;
--- a/src/edge/service.ts
+++ b/src/edge/service.ts
@@ -10,6 +10,7 @@
 import { connectionLimitsFor, type ConnectionLimits } from './config/connection-limits.js';
 import { zonePolicyFactory } from './config/feature-loader.js';
 import type { Features } from './config/features.js';
+import { openJobCapacityBytes } from './config/leader-memory.js';
 import { clusterConfigFrom, type PlatformSettings } from './config/platform-settings.js';
 import { isHealthy } from './http/health.js';
 import { startHttpServer } from './http/http-server.js';
@@ -25,7 +26,6 @@
 import { DecodedPageCache } from './state-store/decoded-page-cache.js';
 import { FinishedJobCompactor } from './state-store/finished-job-compactor.js';
 import { ImageCacheObserver } from './state-store/image-cache-observer.js';
-import { openJobCapacityBytes } from './state-store/open-job-memory.js';
 import { StateStore } from './state-store/state-store.js';
 
 /** The only partition that exists; names and keys allow for more. */
--- a/src/edge/state-store/open-job-memory.ts
+++ b/src/edge/state-store/open-job-memory.ts
@@ -10,26 +10,11 @@
 import { warnRateLimited, type Logger } from '../runtime/logger.js';
 import type { ReplicaEntries, ReplicaEntry } from './replica-view.js';
 
-const BYTES_PER_MB = 1024 * 1024;
-
 /** Memory of an open job without its tasks: its record in the replica and its entry in the leader's table. */
 const BYTES_PER_JOB = 5 * 1024;
 /** Memory of a chunk of completed tasks, in the replica and in the leader, with its share of the job's task sets. */
 const BYTES_PER_CHUNK = 256;
 
-/** The remaining memory is for the program, machines, connections, and garbage between two collections. */
-const MAX_SHARE = 0.3;
-/** On a small limit, open jobs may take what this share leaves beside `PROGRAM_MB`. */
-const SHARE_WITH_PROGRAM = 0.6;
-const PROGRAM_MB = 50;
-
-/** Returns how many bytes open jobs may take under a memory limit, or Infinity if there is no limit. */
-export function openJobCapacityBytes(memoryLimitMb: number | null): number {
-  if (memoryLimitMb === null) return Infinity;
-  const besideProgramMb = SHARE_WITH_PROGRAM * memoryLimitMb - PROGRAM_MB;
-  return Math.min(MAX_SHARE * memoryLimitMb, besideProgramMb) * BYTES_PER_MB;
-}
-
 /** Returns the most memory that a job can take while it is open, in bytes, however many of its tasks are completed. */
 export const openJobBytes = ({ taskCount }: Pick<JobSpec, 'taskCount'>): number =>
   BYTES_PER_JOB + Math.ceil(taskCount / CHUNK_TASKS) * BYTES_PER_CHUNK;
--- a/test/golden-settings.test.ts
+++ b/test/golden-settings.test.ts
@@ -70,6 +70,7 @@
   cancellationDeadline: seconds(49),
   maxTransactionOperations: 6,
   maxValueBytes: 2560,
+  maxAssignments: 24_780,
   inventoryLag: seconds(4),
 };
 
@@ -111,6 +112,7 @@
     objectives: [],
     maxTransactionOperations: 8,
     maxValueBytes: 4096,
+    maxAssignments: Infinity,
   });
   assert.equal(platform.facts.state.next, undefined);
   assert.equal(platform.facts.limits, undefined);
--- a/test/large-jobs.test.ts
+++ b/test/large-jobs.test.ts
@@ -6,17 +6,19 @@
 import { after, test } from 'node:test';
 import { DecodedPageCache } from '../src/edge/state-store/decoded-page-cache.js';
 import { ImageCacheObserver } from '../src/edge/state-store/image-cache-observer.js';
-import {
-  OpenJobMemory,
-  openJobBytes,
-  openJobCapacityBytes,
-} from '../src/edge/state-store/open-job-memory.js';
+import { assignmentsOf, endAssignment } from '../src/core/assignments/assignments.js';
+import type { JobKind } from '../src/core/model/job.js';
+import { TOO_MANY_ASSIGNMENTS } from '../src/core/model/pending-reasons.js';
+import { maxAssignments, openJobCapacityBytes } from '../src/edge/config/leader-memory.js';
+import { OpenJobMemory, openJobBytes } from '../src/edge/state-store/open-job-memory.js';
 import { createLogger } from '../src/edge/runtime/logger.js';
 import { TaskCounts } from '../src/edge/state-store/task-counts.js';
 import { encodeJob } from '../src/wire/job-record.js';
 import { jobKey } from '../src/wire/keys.js';
 import { timeAt } from './fixtures/clock.js';
-import { jobSpec } from './fixtures/cluster-config.js';
+import { CLUSTER_CONFIG, jobSpec } from './fixtures/cluster-config.js';
+import { createSchedulerWithType } from './fixtures/scheduler.js';
+import { rejectionReason } from '../src/edge/http/submission-checks.js';
 import {
   fillWithNearlyCompletedJobs,
   leaderWithPendingJobs,
@@ -99,6 +101,42 @@
   assert.equal(memory.usedBytes, full - openJobBytes(next));
 });
 
+// Tasks that take next to nothing fit a machine by the thousand, and the leader holds each one that is assigned.
+test('no more tasks are assigned at once than the leader can hold, and the others follow as these end', () => {
+  const maxAssignments = 50;
+  const scheduler = createSchedulerWithType({ config: { ...CLUSTER_CONFIG, maxAssignments } });
+  const { state } = scheduler;
+  const specs = [
+    jobSpec('req-1', { taskCount: 100_000, cpus: 0.0001, gpus: 0, memory: 0.0001 }),
+    jobSpec('req-2', { kind: 'gang', taskCount: 2, cpus: 0.0001, gpus: 0, memory: 0.0001 }),
+    jobSpec('req-3', { kind: 'service', taskCount: 2, cpus: 1, gpus: 0, priority: 'production' }),
+  ];
+  for (const [n, spec] of specs.entries()) {
+    const record = { spec, submittedAt: timeAt(0).wall, status: 'open' as const };
+    scheduler.handle({ kind: 'job-changed', id: spec.id, record, modRevision: n + 1 }, timeAt(0));
+  }
+  runCycles(scheduler, 3);
+  assert.equal(state.jobs.assignmentCount, maxAssignments);
+  assert.equal(state.jobs.byId.get('req-3')?.assignedCount, 2);
+  const array = state.jobs.byId.get('req-1');
+  assert.ok(array !== undefined);
+  assert.equal(array.pendingReason, TOO_MANY_ASSIGNMENTS);
+  for (const assignment of assignmentsOf(array).slice(0, 10))
+    endAssignment(state, assignment, true, 'done', timeAt(20).monotonic);
+  runCycles(scheduler, 3, 21);
+  assert.equal(state.jobs.assignmentCount, maxAssignments);
+  assert.equal(array.completedTasks.size, 10);
+});
+
+test('a gang or service with more tasks than a controller can hold at once is never accepted', () => {
+  const limits = { ...CLUSTER_CONFIG, maxAssignments: maxAssignments(SMALLEST_LIMIT_MB) };
+  const reasonFor = (kind: JobKind): string | null =>
+    rejectionReason(jobSpec('req-1', { kind, taskCount: 100_000, gpus: 0 }), limits, []);
+  assert.match(reasonFor('gang') ?? '', /more tasks at once/);
+  assert.match(reasonFor('service') ?? '', /more tasks at once/);
+  assert.equal(reasonFor('array'), null);
+});
+
 test('beyond what the leader can hold, jobs get 503 with Retry-After until an accepted one ends', async () => {
   const memoryMb = 400;
   const stateStore = await startStateStore();
