A controller that has just started probes the state store sooner

Cause: requests are refused until the replica was first synchronized, and the probe that does it looked only every 500 ms, so a controller that loads its replica just after a look refuses its users for up to half a second.

Change: until the first contact the probe looks every 50 ms.

--- a/src/edge/state-store/contact-probe.ts
+++ b/src/edge/state-store/contact-probe.ts
@@ -10,6 +10,8 @@
 import type { StateStore } from './state-store.js';
 
 const PROBE_INTERVAL_MS = 500;
+/** Until the first contact, because a controller that has just started refuses its users until then. */
+const FIRST_PROBE_INTERVAL_MS = 50;
 /** Requests of users sync the replica too, so a probe is sent only if none of them has done so for this long. */
 const MAX_CONTACT_AGE_MS = 800;
 const SYNC_TIMEOUT_MS = 1000;
@@ -23,7 +25,8 @@
     while (!signal.aborted) {
       if (stateStore.loaded && millisecondsSince(stateStore.lastSyncedAt) > MAX_CONTACT_AGE_MS)
         await stateStore.syncReplica(SYNC_TIMEOUT_MS);
-      await sleep(PROBE_INTERVAL_MS, signal);
+      const isFirst = stateStore.lastSyncedAt === 0n;
+      await sleep(isFirst ? FIRST_PROBE_INTERVAL_MS : PROBE_INTERVAL_MS, signal);
     }
   });
 }
