Where assignments are short, gangs start before work of lower priority

What users would see: with as many tasks assigned as the leader can hold, a gang of high priority never started, and one accepted under a higher bound could never run, although an accepted job must run.

Cause: each place that became free was given to the next job in the queue for which one place was enough, and a gang needs several at once.

Change: in a cycle, jobs after one that is short of assignments get none, so places add up for it. No gang needs more than half of the bound to be free. Nothing changes while the bound is not reached.

--- a/src/core/assignments/assignments.ts
+++ b/src/core/assignments/assignments.ts
@@ -208,6 +208,13 @@
 export const assignableTasks = ({ config, jobs }: ClusterState): number =>
   Math.max(0, config.maxAssignments - jobs.assignmentCount);
 
+/**
+ * Whether all tasks of a gang may be assigned at once. A gang accepted under a higher bound must run too, so no gang
+ * needs more than half of the bound to be free.
+ */
+export const mayAssignGang = (state: ClusterState, { spec }: Job): boolean =>
+  assignableTasks(state) >= Math.min(spec.taskCount, Math.floor(state.config.maxAssignments / 2));
+
 /** Returns all assignments of a job's tasks. */
 export function assignmentsOf(job: Job): Assignment[] {
   const assignments: Assignment[] = [];
--- a/src/core/scheduling/gang-scheduling.ts
+++ b/src/core/scheduling/gang-scheduling.ts
@@ -1,5 +1,5 @@
 /** @file Assigns all tasks of a gang in one cycle, or none. */
-import { assignTask, assignableTasks } from '../assignments/assignments.js';
+import { assignTask, mayAssignGang } from '../assignments/assignments.js';
 import { completeGang } from '../assignments/job-completion.js';
 import type { Job } from '../model/job.js';
 import type { Machine } from '../model/machine.js';
@@ -32,7 +32,7 @@
     job.pendingReason = QUOTA_EXCEEDED;
     return;
   }
-  if (assignableTasks(state) < job.spec.taskCount) {
+  if (!mayAssignGang(state, job)) {
     job.pendingReason = TOO_MANY_ASSIGNMENTS;
     return;
   }
--- a/src/core/scheduling/preemption.ts
+++ b/src/core/scheduling/preemption.ts
@@ -1,5 +1,5 @@
 /** @file Reserves capacity for blocked jobs by stopping tasks of lower priority. */
-import { assignableTasks } from '../assignments/assignments.js';
+import { assignableTasks, mayAssignGang } from '../assignments/assignments.js';
 import type { Assignment } from '../model/assignment.js';
 import type { Job } from '../model/job.js';
 import type { Machine } from '../model/machine.js';
@@ -44,11 +44,11 @@
  * Returns the number of pending tasks that may be assigned. For a gang it is 0 if it has assigned tasks, or if not all of
  * its tasks may be assigned.
  */
-function tasksToReserve({ state }: SchedulingCycle, { spec, assignedCount, unassignedTasks }: Job): number {
-  const assignable = assignableTasks(state);
-  if (spec.kind !== 'gang') return Math.min(unassignedTasks.size, assignable);
+function tasksToReserve({ state }: SchedulingCycle, job: Job): number {
+  const { spec, assignedCount, unassignedTasks } = job;
+  if (spec.kind !== 'gang') return Math.min(unassignedTasks.size, assignableTasks(state));
   const mayStart =
-    assignedCount === 0 && spec.taskCount <= assignable && state.jobs.quotas.allows(spec, spec.taskCount);
+    assignedCount === 0 && mayAssignGang(state, job) && state.jobs.quotas.allows(spec, spec.taskCount);
   return mayStart ? unassignedTasks.size : 0;
 }
 
--- a/src/core/scheduling/scheduling-cycle.ts
+++ b/src/core/scheduling/scheduling-cycle.ts
@@ -4,6 +4,7 @@
  */
 import { pendingSeconds } from '../jobs/deadline-slack.js';
 import type { Job } from '../model/job.js';
+import { TOO_MANY_ASSIGNMENTS } from '../model/pending-reasons.js';
 import type { Timestamp } from '../model/time.js';
 import type { ClusterState } from '../state/cluster-state.js';
 import { emitLog } from '../state/log-effects.js';
@@ -39,12 +40,18 @@
       reserveForDisplaced(unreserved, cycle.candidates);
       unreserved = [];
     }
-    scheduleJob(cycle, job);
+    // What a job is refused for lack of assignments is not given to those after it. Otherwise tasks of lower priority
+    // would take each place that becomes free, and a gang, which needs several at once, would never start.
+    if (isShortOfAssignments(blocked)) job.pendingReason = TOO_MANY_ASSIGNMENTS;
+    else scheduleJob(cycle, job);
     if (job.unassignedTasks.size > 0) blocked.push(job);
   }
   return blocked;
 }
 
+const isShortOfAssignments = (blocked: readonly Job[]): boolean =>
+  blocked[blocked.length - 1]?.pendingReason === TOO_MANY_ASSIGNMENTS;
+
 const anyHasHigherPriority = (displaced: readonly DisplacedReplicas[], job: Job): boolean =>
   displaced.some((replicas) => schedulingPriority(replicas.job) > schedulingPriority(job));
 
--- a/test/large-jobs.test.ts
+++ b/test/large-jobs.test.ts
@@ -7,8 +7,9 @@
 import { DecodedPageCache } from '../src/edge/state-store/decoded-page-cache.js';
 import { ImageCacheObserver } from '../src/edge/state-store/image-cache-observer.js';
 import { assignmentsOf, endAssignment } from '../src/core/assignments/assignments.js';
-import type { JobKind } from '../src/core/model/job.js';
+import type { JobKind, JobSpec } from '../src/core/model/job.js';
 import { TOO_MANY_ASSIGNMENTS } from '../src/core/model/pending-reasons.js';
+import { runSchedulingCycle } from '../src/core/scheduling/scheduling-cycle.js';
 import { maxAssignments, openJobCapacityBytes } from '../src/edge/config/leader-memory.js';
 import { OpenJobMemory, openJobBytes } from '../src/edge/state-store/open-job-memory.js';
 import { createLogger } from '../src/edge/runtime/logger.js';
@@ -128,6 +129,33 @@
   assert.equal(array.completedTasks.size, 10);
 });
 
+// Each place that became free went to an array of lower priority, and the gangs never started.
+test('where assignments are short, gangs of higher priority start first, also one above the bound', () => {
+  const scheduler = createSchedulerWithType({ config: { ...CLUSTER_CONFIG, maxAssignments: 50 } });
+  const { state } = scheduler;
+  const tiny = { cpus: 0.0001, gpus: 0, memory: 0.0001 };
+  const submit = (id: string, overrides: Partial<JobSpec>): void => {
+    const record = {
+      spec: jobSpec(id, { ...tiny, ...overrides }),
+      submittedAt: timeAt(0).wall,
+      status: 'open' as const,
+    };
+    scheduler.handle({ kind: 'job-changed', id, record, modRevision: Number(id.slice(4)) }, timeAt(2));
+  };
+  submit('req-1', { taskCount: 100_000 });
+  runCycles(scheduler, 1);
+  submit('req-2', { kind: 'gang', taskCount: 8, priority: 'high' });
+  submit('req-3', { kind: 'gang', taskCount: 60, priority: 'high' });
+  const [array, gang, largeGang] = ['req-1', 'req-2', 'req-3'].map((id) => state.jobs.byId.get(id));
+  assert.ok(array !== undefined && gang !== undefined && largeGang !== undefined);
+  for (let ended = 0; ended < 40; ended++) {
+    const [assignment] = assignmentsOf(array);
+    if (assignment !== undefined) endAssignment(state, assignment, true, 'done', timeAt(2).monotonic);
+    runSchedulingCycle(state, timeAt(2));
+  }
+  assert.deepEqual([gang.assignedCount, largeGang.assignedCount], [8, 60]);
+});
+
 test('a gang or service with more tasks than a controller can hold at once is never accepted', () => {
   const limits = { ...CLUSTER_CONFIG, maxAssignments: maxAssignments(SMALLEST_LIMIT_MB) };
   const reasonFor = (kind: JobKind): string | null =>
