--- a/src/edge/http/request-handler.ts
+++ b/src/edge/http/request-handler.ts
@@ -8,6 +8,7 @@
 import type { Logger } from '../runtime/logger.js';
 import type { ControllerVersions } from '../state-store/controller-versions.js';
 import { DependencyIndex } from '../state-store/dependency-index.js';
+import { OpenJobMemory } from '../state-store/open-job-memory.js';
 import type { StateStore } from '../state-store/state-store.js';
 import { TaskCounts } from '../state-store/task-counts.js';
 import { Cancellations } from './cancellations.js';
@@ -32,6 +33,7 @@
     versions: Pick<ControllerVersions, 'allSupport'>,
     logger: Logger,
     underMemoryPressure: () => boolean,
+    openJobCapacityBytes: number,
   ) {
     this.counts = new TaskCounts(stateStore);
     const dependencies = new DependencyIndex(stateStore);
@@ -43,6 +45,7 @@
       versions,
       this.queries,
       admission,
+      new OpenJobMemory(stateStore, openJobCapacityBytes, logger),
       () => this.machineTypes,
     );
     this.cancellations = new Cancellations(stateStore, this.queries, admission, limits.maxValueBytes);
--- a/src/edge/http/request-result.ts
+++ b/src/edge/http/request-result.ts
@@ -52,6 +52,8 @@
 export const STATE_STORE_UNAVAILABLE = unavailable(1, 'the state service does not answer');
 /** Too many requests are being served, or too little memory is left. */
 export const OVERLOADED = unavailable(1, 'too many requests');
+/** The open jobs may take all the memory that a leader has for them. Some have to end first. */
+export const TOO_MANY_OPEN_JOBS = unavailable(5, 'too many tasks of open jobs');
 /** The cloud has not listed its machine types since this controller started, or the replica is not loaded yet. */
 export const MACHINE_TYPES_UNKNOWN = unavailable(2, 'machine types are not known yet');
 /** A controller still runs an older version, which would start a job without waiting for its dependencies. */
--- a/src/edge/http/submissions.ts
+++ b/src/edge/http/submissions.ts
@@ -12,11 +12,13 @@
 import { jittered } from '../runtime/jitter.js';
 import { DEPENDENCIES_FEATURE, type ControllerVersions } from '../state-store/controller-versions.js';
 import type { ReadResult } from '../state-store/state-store-client.js';
+import type { OpenJobMemory } from '../state-store/open-job-memory.js';
 import type { StateStore } from '../state-store/state-store.js';
 import type { RequestAdmission } from './request-admission.js';
 import {
   MACHINE_TYPES_UNKNOWN,
   STATE_STORE_UNAVAILABLE,
+  TOO_MANY_OPEN_JOBS,
   UPGRADE_IN_PROGRESS,
   changedJob,
   type JobView,
@@ -41,6 +43,7 @@
     private readonly versions: Pick<ControllerVersions, 'allSupport'>,
     private readonly queries: StatusQueries,
     private readonly admission: RequestAdmission,
+    private readonly openJobs: OpenJobMemory,
     private readonly machineTypes: () => readonly MachineType[],
   ) {}
 
@@ -52,7 +55,18 @@
     if (reason !== null) return this.reject(id, reason);
     if (this.admission.disconnected) return STATE_STORE_UNAVAILABLE;
     if (!this.stateStore.loaded || this.machineTypes().length === 0) return MACHINE_TYPES_UNKNOWN;
-    return this.admission.run(async () => (await this.checkDependencies(spec)) ?? (await this.create(spec)));
+    return this.admission.run(
+      async () => (await this.checkDependencies(spec)) ?? (await this.createWithinMemory(spec)),
+    );
+  }
+
+  /** Creates the job's record if the leader has memory for the job beside all other open ones. */
+  private async createWithinMemory(spec: JobSpec): Promise<RequestResult<JobView>> {
+    if (!this.openJobs.reserve(spec)) return TOO_MANY_OPEN_JOBS;
+    const result = await this.create(spec);
+    // A created job may not be in the replica yet, so its reservation stays.
+    if (result.kind !== 'ok') this.openJobs.release(spec.id);
+    return result;
   }
 
   /** Returns why a job with these dependencies is refused, permanently or for now, or null if it is not refused. */
--- a/src/edge/service.ts
+++ b/src/edge/service.ts
@@ -25,6 +25,7 @@
 import { DecodedPageCache } from './state-store/decoded-page-cache.js';
 import { FinishedJobCompactor } from './state-store/finished-job-compactor.js';
 import { ImageCacheObserver } from './state-store/image-cache-observer.js';
+import { openJobCapacityBytes } from './state-store/open-job-memory.js';
 import { StateStore } from './state-store/state-store.js';
 
 /** The only partition that exists; names and keys allow for more. */
@@ -89,7 +90,8 @@
   const config = clusterConfigFrom(platform);
   const stateStore = new StateStore(external.state, logger);
   const cloud = new CloudClient(external.cloud, facts.cloud.rps, logger);
-  const memoryMonitor = new MemoryMonitor(facts.limits?.memory_mb ?? null, logger);
+  const memoryLimitMb = facts.limits?.memory_mb ?? null;
+  const memoryMonitor = new MemoryMonitor(memoryLimitMb, logger);
   const connectionLimits = connectionLimitsFor(facts.limits?.max_sockets ?? null);
   const peerLabels = platform.known.map((peer) => peer.label);
   const versions = new ControllerVersions(stateStore, platform.label, peerLabels, logger);
@@ -99,6 +101,7 @@
     versions,
     logger,
     () => memoryMonitor.underPressure,
+    openJobCapacityBytes(memoryLimitMb),
   );
   return { config, stateStore, cloud, memoryMonitor, connectionLimits, versions, requestHandler };
 }
--- a/test/large-jobs.test.ts
+++ b/test/large-jobs.test.ts
@@ -3,11 +3,20 @@
  * tasks: a leader kept an entry for each pending task and some kilobytes for each 40 completed ones.
  */
 import assert from 'node:assert/strict';
-import { test } from 'node:test';
+import { after, test } from 'node:test';
 import { DecodedPageCache } from '../src/edge/state-store/decoded-page-cache.js';
 import { ImageCacheObserver } from '../src/edge/state-store/image-cache-observer.js';
+import {
+  OpenJobMemory,
+  openJobBytes,
+  openJobCapacityBytes,
+} from '../src/edge/state-store/open-job-memory.js';
 import { createLogger } from '../src/edge/runtime/logger.js';
 import { TaskCounts } from '../src/edge/state-store/task-counts.js';
+import { encodeJob } from '../src/wire/job-record.js';
+import { jobKey } from '../src/wire/keys.js';
+import { timeAt } from './fixtures/clock.js';
+import { jobSpec } from './fixtures/cluster-config.js';
 import {
   fillWithNearlyCompletedJobs,
   leaderWithPendingJobs,
@@ -16,11 +25,18 @@
 } from './fixtures/large-jobs.js';
 import { usedBytes } from './fixtures/memory.js';
 import { ReplicaStandIn } from './fixtures/replica.js';
+import { jobBody, waitUntil } from './standins/cluster.js';
+import { call } from './standins/http.js';
+import { startStateStore, startTestService, statusAt, stopTestServices } from './standins/service.js';
 
 /** The jobs of the largest burst of a site file, with the largest number of tasks that the protocol allows. */
 const LARGE = { jobs: 70, tasksPerJob: 100_000 };
 /** The part of that site's memory limit, 165 MB, that open jobs may take. */
 const MAX_BYTES = 0.3 * 165 * 2 ** 20;
+/** The smallest memory limit of the site files, in MB. */
+const SMALLEST_LIMIT_MB = 108;
+
+after(stopTestServices);
 
 test('pending jobs of 100,000 tasks fit into the memory of a leader', () => {
   const before = usedBytes();
@@ -48,3 +64,60 @@
   assert.equal(job?.completedTasks.size, LARGE.tasksPerJob - 1);
   subscription.unsubscribe();
 });
+
+test('the estimate of what open jobs can take in a leader is not below what they take', () => {
+  const replica = new ReplicaStandIn();
+  const memory = new OpenJobMemory(replica, Infinity, createLogger('test'));
+  const before = usedBytes();
+  fillWithNearlyCompletedJobs(replica, LARGE);
+  const scheduler = takeOver(replica, LARGE, new DecodedPageCache());
+  const growth = usedBytes() - before;
+  assert.ok(growth <= memory.usedBytes, `${growth} bytes, estimated ${memory.usedBytes}`);
+  assert.equal(memory.usedBytes, LARGE.jobs * openJobBytes({ taskCount: LARGE.tasksPerJob }));
+  assert.equal(scheduler.state.jobs.byId.size, LARGE.jobs);
+});
+
+test('a job reserves memory once, and gives it back when it ends or could not be created', () => {
+  const record = (id: string, status: 'open' | 'cancelled'): unknown =>
+    encodeJob({ spec: jobSpec(id, { taskCount: 100_000 }), submittedAt: timeAt(0).wall, status });
+  const replica = new ReplicaStandIn();
+  const memory = new OpenJobMemory(replica, openJobCapacityBytes(SMALLEST_LIMIT_MB), createLogger('test'));
+  let accepted = 0;
+  while (memory.reserve(jobSpec(`req-${accepted}`, { taskCount: 100_000 }))) accepted += 1;
+  assert.ok(accepted > 0);
+  const full = memory.usedBytes;
+  replica.put(jobKey('req-0'), record('req-0', 'open'));
+  memory.release('req-0');
+  assert.equal(memory.usedBytes, full, 'the replica has it');
+  const next = jobSpec('req-next', { taskCount: 100_000 });
+  assert.equal(memory.reserve(next), false);
+  replica.put(jobKey('req-0'), record('req-0', 'cancelled'));
+  assert.equal(memory.reserve(next), true);
+  assert.equal(memory.reserve(next), true, 'a repeat takes nothing more');
+  assert.equal(memory.usedBytes, full);
+  memory.release(next.id);
+  assert.equal(memory.usedBytes, full - openJobBytes(next));
+});
+
+test('beyond what the leader can hold, jobs get 503 with Retry-After until an accepted one ends', async () => {
+  const memoryMb = 400;
+  const stateStore = await startStateStore();
+  const waiting = Math.floor(openJobCapacityBytes(memoryMb) / openJobBytes({ taskCount: 100_000 }));
+  for (let n = 0; n < waiting; n++) {
+    const spec = jobSpec(`req-${n}`, { taskCount: 100_000, gpus: 2, machineTypes: ['none'] });
+    const value = encodeJob({ spec, submittedAt: new Date(), status: 'open' });
+    stateStore.commit({ guards: [], writes: [{ write: jobKey(spec.id), value }] });
+  }
+  const { apis } = await startTestService({ stateStore, memoryMb, taskDurationMs: () => null });
+  const [api = ''] = apis;
+  const large = jobBody('req-1000', { tickets: 100_000 });
+  const refused = await call(api, 'POST', '/work', large);
+  assert.deepEqual([refused.status, refused.retryAfter], [503, '5']);
+  assert.equal((await call(api, 'POST', '/work', jobBody('req-0'))).status, 200, 'accepted before');
+  assert.equal(await statusAt(api, 'req-1'), 'pending');
+  assert.equal((await call(api, 'POST', '/work/req-0/withdraw')).status, 200);
+  await waitUntil(
+    'req-1000 is accepted',
+    async () => (await call(api, 'POST', '/work', large)).status === 201,
+  );
+});
